--- /dev/null
+++ b/src/core/holding.rs
@@ -0,0 +1,1071 @@
+//! Who owns which keys, and what the planner does about it.
+//!
+//! A service's keys are a line of ranges in one table, an object of the
+//! platform's store that is replaced only under its revision. The table also
+//! names the planner that holds the claim. A planner grants what the table
+//! says, renews it, and changes it; `docs/design/platform.md` has the reasons.
+//!
+//! - A grant runs from its arrival, so the planner counts a hold from the time
+//!   it sent the grant, and adds the way there and the slowest clock.
+//! - Keys leave an owner that answers by a release, and one that does not when
+//!   its hold is over. Only then does the next owner get a grant.
+//! - Each change of owner takes a fence above all earlier ones, written before
+//!   it is used. A new planner raises the fence at every owner, after which
+//!   the old planner's renewals are refused there.
+//! - A planner grants only within a bounded time after its claim was confirmed.
+
+use crate::core::{
+    roster::Endpoint,
+    spread::{
+        self,
+        Heat,
+        Server,
+        Slice, //
+    },
+    time::Instant,
+};
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+/// Shortest time for which keys are granted.
+const HOLD_MIN: Duration = Duration::from_millis(1_300);
+
+/// Longest time for which keys are granted, whatever the endpoints allow.
+const HOLD_MAX: Duration = Duration::from_millis(5_200);
+
+/// Renewals in the time of one grant.
+const RENEWALS: u32 = 4;
+
+/// Most grants that one planner sends, a second.
+const GRANTS_PER_S: u64 = 320;
+
+/// Part by which an endpoint's clock may run slow, in hundredths: the platform's bound.
+const SLOW_CLOCK_PERCENT: u32 = 2;
+
+/// Time after which an unanswered order is given up and its connection reset.
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Granularity of timers.
+const TIMER_MARGIN: Duration = Duration::from_millis(20);
+
+/// How long a planner grants after its claim was last confirmed.
+///
+/// Longer than the store's outages seen, so that keys stay served in one.
+pub const CLAIM_TERM: Duration = Duration::from_secs(12);
+
+/// Silence from which an endpoint gets no more grants until it answers again.
+const SILENCE: Duration = Duration::from_millis(380);
+
+/// How often a silent endpoint is asked whether it is back.
+const PROBE_PERIOD: Duration = Duration::from_millis(150);
+
+/// How often a silent endpoint without keys is asked.
+const IDLE_PROBE_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// How often keys are placed anew by load.
+const ROUND_PERIOD: Duration = Duration::from_millis(300);
+
+/// Endpoints for each move of a round.
+const SERVERS_PER_MOVE: usize = 3;
+
+/// How long moved keys stay where they are.
+const MOVE_REST: Duration = Duration::from_millis(700);
+
+/// Capacity assumed of an endpoint that has not served yet, in requests a second.
+const UNKNOWN_CAPACITY: f64 = 20.0;
+
+record! {
+    /// A life of an endpoint.
+    pub struct Owner {
+        /// Endpoint.
+        pub endpoint: Box<str>,
+        /// Start of its process.
+        pub born: u64,
+    }
+
+    /// The VM that plans.
+    pub struct Claim {
+        /// Name.
+        pub node: Box<str>,
+        /// Run of its process.
+        pub run: u64,
+    }
+
+    /// Neighbouring keys with one owner.
+    pub struct Range {
+        /// First key.
+        pub from: u16,
+        /// Last key.
+        pub to: u16,
+        /// Owner, if there is one.
+        pub owner: Option<Owner>,
+        /// Owner before, as long as it may hold the keys.
+        pub previous: Option<Owner>,
+        /// Fencing token.
+        pub fence: u64,
+    }
+
+    /// Owners of all keys of a service.
+    pub struct Table {
+        /// Service.
+        pub service: Box<str>,
+        /// Who plans.
+        pub claim: Claim,
+        /// Highest fencing token given out.
+        pub last_fence: u64,
+        /// Ranges, sorted; they cover all keys.
+        pub ranges: Vec<Range>,
+    }
+}
+
+impl Table {
+    /// Returns the table with which `claim` becomes the planner.
+    ///
+    /// Every owner keeps its keys under a higher fencing token.
+    pub fn claimed(old: Option<&Self>, service: &str, claim: Claim) -> Self {
+        let Some(old) = old else {
+            return Self {
+                service: service.into(),
+                claim,
+                last_fence: 0,
+                ranges: vec![Range {
+                    from: 0,
+                    to: u16::MAX,
+                    owner: None,
+                    previous: None,
+                    fence: 0,
+                }],
+            };
+        };
+        let mut table = old.clone();
+        table.claim = claim;
+        table.last_fence += 1;
+        for range in &mut table.ranges {
+            range.fence = table.last_fence;
+        }
+        table
+    }
+
+    /// Returns the range of a key.
+    pub fn range(&self, key: u16) -> Option<&Range> {
+        let place = self.ranges.partition_point(|range| range.to < key);
+        self.ranges.get(place).filter(|range| range.from <= key)
+    }
+}
+
+/// An order to grant keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// First key.
+    pub from: u16,
+    /// Last key.
+    pub to: u16,
+    /// Fencing token.
+    pub fence: u64,
+    /// How long they are held from the arrival of the order.
+    pub hold: Duration,
+    /// What the last holder handed over.
+    pub handover: Option<Box<str>>,
+}
+
+/// An order to give keys back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Release {
+    /// First key.
+    pub from: u16,
+    /// Last key.
+    pub to: u16,
+    /// Fencing token, above that of the grant.
+    pub fence: u64,
+}
+
+/// What an endpoint answered to an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It obeyed; with what it hands over, if it released.
+    Done(Option<Box<str>>),
+    /// It has seen a higher fencing token.
+    Fenced,
+    /// It is not the endpoint that was meant, or cannot read the order.
+    Refused,
+    /// It did not answer in time.
+    Silent,
+    /// It could not be reached.
+    Unreachable,
+    /// The connection had ended; nothing was sent.
+    Ended,
+}
+
+/// What came of one grant.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Granted {
+    /// The order.
+    pub grant: Grant,
+    /// When it was sent.
+    pub sent: Instant,
+    /// What the endpoint answered.
+    pub answer: Answer,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Replace the table.
+    Write(Table),
+    /// Send grants, one after the other, up to the first that fails.
+    Grant(Arc<Endpoint>, Vec<Grant>),
+    /// Take keys back.
+    Release(Arc<Endpoint>, Release),
+    /// Find out whether an endpoint answers, by a release of no effect.
+    Probe(Arc<Endpoint>, Release),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The owner before may hold the keys until then.
+    Settling {
+        previous: Owner,
+        until: Instant,
+        is_asked: bool,
+    },
+    /// The owner may be granted the keys.
+    Granting,
+    /// The owner has them.
+    Held,
+}
+
+#[derive(Clone, Debug)]
+struct Piece {
+    from: u16,
+    to: u16,
+    owner: Option<Owner>,
+    fence: u64,
+    phase: Phase,
+    /// When any hold of the present owner is over.
+    bound: Instant,
+    handover: Option<Box<str>>,
+    changed: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Seat {
+    endpoint: Arc<Endpoint>,
+    is_listed: bool,
+    is_busy: bool,
+    next: Instant,
+    silent_since: Option<Instant>,
+    needs_fence: bool,
+    needs_proof: bool,
+}
+
+impl Seat {
+    fn is_silent(&self, now: Instant) -> bool {
+        self.silent_since
+            .is_some_and(|since| now.since(since) >= SILENCE)
+    }
+
+    fn owner(&self) -> Owner {
+        Owner {
+            endpoint: self.endpoint.id.clone(),
+            born: self.endpoint.born,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Edit {
+    from: u16,
+    to: u16,
+    owner: Option<Owner>,
+    previous: Option<Owner>,
+    fence: u64,
+}
+
+/// State of a piece as requests need to know it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spot<'a> {
+    /// The endpoint has the key.
+    Held(&'a str),
+    /// The endpoint is to get it in a moment.
+    Moving(&'a str),
+    /// Nobody has it for about so long.
+    Vacant(Duration),
+}
+
+/// A planner that holds the claim.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    table: Table,
+    revision: u64,
+    pieces: Vec<Piece>,
+    seats: Vec<Seat>,
+    confirmed: Instant,
+    hold_max: Duration,
+    edits: Vec<Edit>,
+    last_fence: u64,
+    is_writing: bool,
+    retry_write: Instant,
+    next_round: Instant,
+    moves: u64,
+}
+
+impl Planner {
+    /// Starts from a table that was written with this planner's claim.
+    ///
+    /// `foreign` is how long another planner may still renew.
+    pub fn open(
+        table: Table,
+        revision: u64,
+        foreign: Duration,
+        hold_max: Duration,
+        now: Instant,
+    ) -> Self {
+        let bound = now.after(foreign + over(hold_max.min(HOLD_MAX)));
+        let pieces = table.ranges.iter().map(|range| Piece {
+            from: range.from,
+            to: range.to,
+            owner: range.owner.clone(),
+            fence: range.fence,
+            phase: match &range.previous {
+                Some(previous) => Phase::Settling {
+                    previous: previous.clone(),
+                    until: bound,
+                    is_asked: false,
+                },
+                None => Phase::Granting,
+            },
+            bound,
+            handover: None,
+            changed: now,
+        });
+        Self {
+            pieces: pieces.collect(),
+            seats: Vec::new(),
+            confirmed: now,
+            hold_max,
+            edits: Vec::new(),
+            last_fence: table.last_fence,
+            is_writing: false,
+            retry_write: now,
+            next_round: now,
+            moves: 0,
+            revision,
+            table,
+        }
+    }
+
+    /// Returns the table in force.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Returns the revision of the table in force.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns how many changes of owner were written.
+    pub fn moves(&self) -> u64 {
+        self.moves
+    }
+
+    /// Returns the number of pieces, and how many of them are held.
+    pub fn pieces(&self) -> (usize, usize) {
+        let held = self.pieces.iter().filter(|piece| piece.phase == Phase::Held);
+        (self.pieces.len(), held.count())
+    }
+
+    /// Notes that the claim held at `at`.
+    pub fn confirm(&mut self, at: Instant) {
+        self.confirmed = self.confirmed.max(at);
+    }
+
+    /// Forgets all confirmations, as after a suspension of this VM.
+    pub fn unconfirm(&mut self) {
+        self.confirmed = Instant::default();
+    }
+
+    /// Returns how long ago the claim was last confirmed.
+    pub fn confirmed_age(&self, now: Instant) -> Duration {
+        now.since(self.confirmed)
+    }
+
+    /// Tells whether the claim was confirmed lately enough to act on it.
+    pub fn is_confirmed(&self, now: Instant) -> bool {
+        now.since(self.confirmed) < CLAIM_TERM
+    }
+
+    /// Returns where a key is.
+    pub fn spot(&self, key: u16, now: Instant) -> Spot<'_> {
+        let place = self.pieces.partition_point(|piece| piece.to < key);
+        let Some(piece) = self.pieces.get(place) else {
+            return Spot::Vacant(HOLD_MIN);
+        };
+        let Some(owner) = &piece.owner else {
+            return Spot::Vacant(HOLD_MIN);
+        };
+        let seat = self.seat(&owner.endpoint);
+        if seat.is_some_and(|seat| seat.is_silent(now)) {
+            return Spot::Vacant(now_to(piece.bound, now) + TIMER_MARGIN);
+        }
+        match &piece.phase {
+            Phase::Held => Spot::Held(&owner.endpoint),
+            Phase::Granting => Spot::Moving(&owner.endpoint),
+            Phase::Settling {
+                until, previous, ..
+            } => {
+                let silent = self
+                    .seat(&previous.endpoint)
+                    .is_none_or(|seat| seat.silent_since.is_some());
+                if silent {
+                    Spot::Vacant(now_to(*until, now) + TIMER_MARGIN)
+                } else {
+                    Spot::Moving(&owner.endpoint)
+                }
+            }
+        }
+    }
+
+    fn seat(&self, endpoint: &str) -> Option<&Seat> {
+        let place = self.find(endpoint).ok()?;
+        Some(&self.seats[place])
+    }
+
+    fn seat_mut(&mut self, endpoint: &str) -> Option<&mut Seat> {
+        let place = self.find(endpoint).ok()?;
+        Some(&mut self.seats[place])
+    }
+
+    fn find(&self, endpoint: &str) -> Result<usize, usize> {
+        self.seats
+            .binary_search_by(|seat| (*seat.endpoint.id).cmp(endpoint))
+    }
+
+    /// Returns for how long keys are granted.
+    ///
+    /// With many pieces the grants are longer, so that renewing them stays
+    /// within a number of orders a second.
+    pub fn hold(&self) -> Duration {
+        let pieces = self.pieces.len() as u64;
+        let period = Duration::from_millis(pieces * 1000 / GRANTS_PER_S);
+        (period * RENEWALS).max(HOLD_MIN).min(self.hold_max).min(HOLD_MAX)
+    }
+
+    /// Decides what to do now.
+    ///
+    /// `roster` lists the endpoints of the service, sorted by identity, and
+    /// `capacity` says what an endpoint can serve.
+    pub fn tick(
+        &mut self,
+        roster: &[Arc<Endpoint>],
+        heat: &Heat,
+        capacity: &dyn Fn(&str) -> Option<f64>,
+        now: Instant,
+    ) -> Vec<Step> {
+        self.seat_endpoints(roster, now);
+        let mut steps = Vec::new();
+        if !self.is_confirmed(now) {
+            return steps;
+        }
+        self.settle(now);
+        if !self.is_writing && now >= self.retry_write {
+            self.edit(heat, capacity, now);
+            if !self.edits.is_empty() {
+                self.is_writing = true;
+                steps.push(Step::Write(self.edited()));
+            }
+        }
+        self.release(&mut steps);
+        self.grant(&mut steps, now);
+        steps
+    }
+
+    fn seat_endpoints(&mut self, roster: &[Arc<Endpoint>], now: Instant) {
+        for seat in &mut self.seats {
+            seat.is_listed = false;
+        }
+        for endpoint in roster {
+            match self.find(&endpoint.id) {
+                Ok(index) => {
+                    let seat = &mut self.seats[index];
+                    seat.is_listed = true;
+                    if seat.endpoint.born != endpoint.born {
+                        seat.silent_since = None;
+                        seat.needs_fence = false;
+                    }
+                    seat.endpoint = Arc::clone(endpoint);
+                }
+                Err(index) => self.seats.insert(
+                    index,
+                    Seat {
+                        endpoint: Arc::clone(endpoint),
+                        is_listed: true,
+                        is_busy: false,
+                        next: now,
+                        silent_since: None,
+                        needs_fence: false,
+                        needs_proof: false,
+                    },
+                ),
+            }
+        }
+        let pieces = &self.pieces;
+        self.seats.retain(|seat| {
+            seat.is_listed || seat.is_busy || pieces.iter().any(|piece| piece.names(&seat.endpoint.id))
+        });
+    }
+
+    /// Ends the wait for owners whose hold is over.
+    fn settle(&mut self, now: Instant) {
+        for index in 0..self.pieces.len() {
+            let Phase::Settling {
+                previous, until, ..
+            } = &self.pieces[index].phase
+            else {
+                continue;
+            };
+            // A later life proves that the one before is gone.
+            let is_reborn = self
+                .seat(&previous.endpoint)
+                .is_some_and(|seat| seat.is_listed && seat.endpoint.born != previous.born);
+            if now >= *until || is_reborn {
+                self.begin_granting(index, None, now);
+            }
+        }
+    }
+
+    fn begin_granting(&mut self, index: usize, handover: Option<Box<str>>, now: Instant) {
+        let piece = &mut self.pieces[index];
+        piece.phase = Phase::Granting;
+        piece.handover = handover;
+        if let Some(owner) = piece.owner.clone() {
+            if let Some(seat) = self.seat_mut(&owner.endpoint) {
+                seat.next = now;
+            }
+        }
+    }
+
+    fn edit(&mut self, heat: &Heat, capacity: &dyn Fn(&str) -> Option<f64>, now: Instant) {
+        self.edits.clear();
+        let servers = self.servers(capacity, now);
+        if self.pieces.iter().all(|piece| piece.owner.is_none()) {
+            for slice in spread::cut(&servers) {
+                let owner = self.seats[slice.server].owner();
+                self.push(slice.from, slice.to, Some(owner), None);
+            }
+            return;
+        }
+        let mut loads = self.loads(heat);
+        for index in 0..self.pieces.len() {
+            self.edit_piece(index, heat, &servers, &mut loads, now);
+        }
+        if self.edits.is_empty() && now >= self.next_round {
+            self.next_round = now.after(ROUND_PERIOD);
+            self.edit_by_load(heat, &servers, now);
+        }
+    }
+
+    fn servers(&self, capacity: &dyn Fn(&str) -> Option<f64>, now: Instant) -> Vec<Server> {
+        let servers = self.seats.iter().map(|seat| Server {
+            capacity: capacity(&seat.endpoint.id).unwrap_or(UNKNOWN_CAPACITY).max(0.1),
+            is_target: seat.is_listed
+                && !seat.endpoint.is_leaving
+                && seat.silent_since.is_none()
+                && !seat.needs_proof
+                && !seat.is_silent(now),
+        });
+        servers.collect()
+    }
+
+    fn loads(&self, heat: &Heat) -> Vec<f64> {
+        let mut loads = vec![0.0; self.seats.len()];
+        for piece in &self.pieces {
+            let place = piece.owner.as_ref().map(|owner| self.find(&owner.endpoint));
+            if let Some(Ok(place)) = place {
+                loads[place] += heat.rate(piece.from, piece.to);
+            }
+        }
+        loads
+    }
+
+    /// Gives a piece another owner, or its owner another fence, if it needs one.
+    fn edit_piece(
+        &mut self,
+        index: usize,
+        heat: &Heat,
+        servers: &[Server],
+        loads: &mut [f64],
+        now: Instant,
+    ) {
+        let piece = &self.pieces[index];
+        let (from, to) = (piece.from, piece.to);
+        let rate = heat.rate(from, to);
+        let mut choose = || {
+            let target = spread::least(servers, loads, rate)?;
+            loads[target] += rate;
+            Some(target)
+        };
+        let Some(owner) = piece.owner.clone() else {
+            if let Some(target) = choose() {
+                let owner = self.seats[target].owner();
+                self.push(from, to, Some(owner), None);
+            }
+            return;
+        };
+        let Some(seat) = self.seat(&owner.endpoint) else {
+            // Never seen by this planner: nothing can be asked of it.
+            if now >= piece.bound {
+                if let Some(target) = choose() {
+                    let owner = self.seats[target].owner();
+                    self.push(from, to, Some(owner), None);
+                }
+            }
+            return;
+        };
+        if seat.is_listed && seat.endpoint.born != owner.born {
+            let owner = seat.owner();
+            let previous = self.previous(index);
+            self.push(from, to, Some(owner), previous);
+            return;
+        }
+        let is_lost = !seat.is_listed || seat.is_silent(now);
+        let is_over = now >= piece.bound && !seat.is_busy;
+        let is_settling = matches!(piece.phase, Phase::Settling { .. });
+        if is_lost && is_over && !is_settling {
+            if let Some(target) = choose() {
+                let owner = self.seats[target].owner();
+                self.push(from, to, Some(owner), None);
+            }
+        } else if (seat.endpoint.is_leaving || !seat.is_listed) && !is_settling && !seat.is_silent(now)
+        {
+            if let Some(target) = choose() {
+                let next = self.seats[target].owner();
+                self.push(from, to, Some(next), Some(owner));
+            }
+        } else if is_settling && is_lost {
+            // The next owner was lost before it got the keys.
+            if let Some(target) = choose() {
+                let next = self.seats[target].owner();
+                let previous = self.previous(index);
+                self.push(from, to, Some(next), previous);
+            }
+        } else if seat.needs_fence {
+            let previous = self.previous(index);
+            self.push(from, to, Some(owner), previous);
+        }
+    }
+
+    fn previous(&self, index: usize) -> Option<Owner> {
+        match &self.pieces[index].phase {
+            Phase::Settling { previous, .. } => Some(previous.clone()),
+            _ => None,
+        }
+    }
+
+    fn edit_by_load(&mut self, heat: &Heat, servers: &[Server], now: Instant) {
+        let slices: Vec<Slice> = self
+            .pieces
+            .iter()
+            .filter_map(|piece| {
+                let owner = piece.owner.as_ref()?;
+                Some(Slice {
+                    from: piece.from,
+                    to: piece.to,
+                    server: self.find(&owner.endpoint).ok()?,
+                    is_settled: piece.phase == Phase::Held && now.since(piece.changed) >= MOVE_REST,
+                })
+            })
+            .collect();
+        let limit = servers.len() / SERVERS_PER_MOVE + 1;
+        for shift in spread::round(servers, &slices, heat, limit) {
+            let piece = self.pieces.partition_point(|piece| piece.to < shift.from);
+            let previous = self.pieces[piece].owner.clone();
+            let owner = self.seats[shift.server].owner();
+            self.push(shift.from, shift.to, Some(owner), previous);
+        }
+    }
+
+    fn push(&mut self, from: u16, to: u16, owner: Option<Owner>, previous: Option<Owner>) {
+        self.last_fence += 1;
+        self.edits.push(Edit {
+            from,
+            to,
+            owner,
+            previous,
+            fence: self.last_fence,
+        });
+    }
+
+    /// Returns the table with the edits made.
+    fn edited(&self) -> Table {
+        let mut pieces = self.pieces.clone();
+        for edit in &self.edits {
+            apply(&mut pieces, edit, Instant::default());
+        }
+        join(&mut pieces);
+        Table {
+            service: self.table.service.clone(),
+            claim: self.table.claim.clone(),
+            last_fence: self.last_fence,
+            ranges: pieces.iter().map(Piece::range).collect(),
+        }
+    }
+
+    /// Takes over a table that was written.
+    ///
+    /// `sent` is when the write was begun; the claim held then.
+    pub fn wrote(&mut self, table: Table, revision: u64, sent: Instant, now: Instant) {
+        self.is_writing = false;
+        self.confirm(sent);
+        let edits = std::mem::take(&mut self.edits);
+        for edit in &edits {
+            let place = self.pieces.partition_point(|piece| piece.to < edit.from);
+            let old = self.pieces[place].owner.clone();
+            if old.is_some() && old != edit.owner {
+                self.moves += 1;
+            }
+            apply(&mut self.pieces, edit, now);
+            let Some(owner) = &edit.owner else { continue };
+            if let Some(seat) = self.seat_mut(&owner.endpoint) {
+                seat.needs_fence = false;
+                seat.next = now;
+            }
+        }
+        join(&mut self.pieces);
+        self.table = table;
+        self.revision = revision;
+    }
+
+    /// Drops the edits of a table that was not written.
+    pub fn not_written(&mut self, again: Instant) {
+        self.is_writing = false;
+        self.edits.clear();
+        self.retry_write = again;
+    }
+
+    fn release(&mut self, steps: &mut Vec<Step>) {
+        for index in 0..self.pieces.len() {
+            let piece = &self.pieces[index];
+            let Phase::Settling {
+                previous,
+                is_asked: false,
+                ..
+            } = &piece.phase
+            else {
+                continue;
+            };
+            let Some(seat) = self.seat(&previous.endpoint) else {
+                continue;
+            };
+            // A grant on its way could arrive after the release.
+            if seat.is_busy {
+                continue;
+            }
+            let order = Release {
+                from: piece.from,
+                to: piece.to,
+                fence: piece.fence,
+            };
+            steps.push(Step::Release(Arc::clone(&seat.endpoint), order));
+            if let Phase::Settling { is_asked, .. } = &mut self.pieces[index].phase {
+                *is_asked = true;
+            }
+        }
+    }
+
+    fn grant(&mut self, steps: &mut Vec<Step>, now: Instant) {
+        let hold = self.hold();
+        for place in 0..self.seats.len() {
+            let seat = &self.seats[place];
+            if seat.is_busy || now < seat.next {
+                continue;
+            }
+            let owner = seat.owner();
+            let is_granted = |piece: &&Piece| {
+                piece.owner.as_ref() == Some(&owner) && !matches!(piece.phase, Phase::Settling { .. })
+            };
+            let own = self.pieces.iter().filter(is_granted);
+            if seat.is_silent(now) || seat.needs_fence || seat.needs_proof {
+                let has_keys = own.count() > 0;
+                let order = Release {
+                    from: 0,
+                    to: 0,
+                    fence: 0,
+                };
+                if seat.needs_fence && !seat.is_silent(now) {
+                    continue;
+                }
+                if !seat.is_listed && !has_keys {
+                    continue;
+                }
+                steps.push(Step::Probe(Arc::clone(&seat.endpoint), order));
+                let seat = &mut self.seats[place];
+                seat.is_busy = true;
+                let period = if has_keys { PROBE_PERIOD } else { IDLE_PROBE_PERIOD };
+                seat.next = now.after(period);
+                continue;
+            }
+            let mut grants: Vec<(bool, Grant)> = own
+                .map(|piece| {
+                    let grant = Grant {
+                        from: piece.from,
+                        to: piece.to,
+                        fence: piece.fence,
+                        hold,
+                        handover: piece.handover.clone(),
+                    };
+                    (piece.phase == Phase::Held, grant)
+                })
+                .collect();
+            if grants.is_empty() {
+                continue;
+            }
+            grants.sort_by_key(|(is_held, _)| *is_held);
+            let grants = grants.into_iter().map(|(_, grant)| grant).collect();
+            steps.push(Step::Grant(Arc::clone(&seat.endpoint), grants));
+            let seat = &mut self.seats[place];
+            seat.is_busy = true;
+            seat.next = now.after(hold / RENEWALS);
+        }
+    }
+
+    /// Takes in what came of grants to an endpoint.
+    pub fn granted(&mut self, endpoint: &str, results: &[Granted], now: Instant) {
+        for result in results {
+            self.note_grant(endpoint, result, now);
+        }
+        let is_good = results
+            .iter()
+            .all(|result| matches!(result.answer, Answer::Done(_)));
+        let is_ended = results.iter().any(|result| result.answer == Answer::Ended);
+        let is_fenced = results.iter().any(|result| result.answer == Answer::Fenced);
+        let has_news = self.pieces.iter().any(|piece| {
+            piece.phase == Phase::Granting
+                && piece.owner.as_ref().is_some_and(|owner| *owner.endpoint == *endpoint)
+        });
+        let Some(seat) = self.seat_mut(endpoint) else {
+            return;
+        };
+        seat.is_busy = false;
+        if is_good {
+            seat.silent_since = None;
+            if has_news {
+                seat.next = now;
+            }
+            return;
+        }
+        if is_ended || is_fenced {
+            seat.needs_fence = true;
+        }
+        if is_ended {
+            return;
+        }
+        seat.silent_since.get_or_insert(now);
+        seat.next = now;
+        if is_fenced {
+            // A newer planner may exist: nothing more before the claim is seen again.
+            seat.silent_since = None;
+            self.unconfirm();
+        }
+    }
+
+    fn note_grant(&mut self, endpoint: &str, result: &Granted, now: Instant) {
+        let grant = &result.grant;
+        let was_sent = matches!(result.answer, Answer::Done(_) | Answer::Silent);
+        if !was_sent {
+            return;
+        }
+        let is_done = matches!(result.answer, Answer::Done(_));
+        for piece in &mut self.pieces {
+            let is_owner = piece
+                .owner
+                .as_ref()
+                .is_some_and(|owner| *owner.endpoint == *endpoint);
+            let is_inside = grant.from <= piece.from && piece.to <= grant.to;
+            if !is_inside {
+                continue;
+            }
+            let end = result.sent.after(over(grant.hold));
+            if let Phase::Settling { previous, until, .. } = &mut piece.phase {
+                if *previous.endpoint == *endpoint {
+                    *until = (*until).max(end);
+                }
+                continue;
+            }
+            if !is_owner {
+                continue;
+            }
+            if is_done && piece.fence == grant.fence {
+                // Any other planner's grants are fenced off from here on.
+                piece.bound = end;
+                if piece.phase == Phase::Granting {
+                    piece.phase = Phase::Held;
+                    piece.changed = now;
+                }
+                piece.handover = None;
+            } else {
+                piece.bound = piece.bound.max(end);
+            }
+        }
+    }
+
+    /// Takes in the answer to a release.
+    pub fn released(&mut self, endpoint: &str, order: Release, answer: &Answer, now: Instant) {
+        for index in 0..self.pieces.len() {
+            let piece = &mut self.pieces[index];
+            let is_inside = order.from <= piece.from && piece.to <= order.to;
+            let Phase::Settling {
+                previous, is_asked, ..
+            } = &mut piece.phase
+            else {
+                continue;
+            };
+            if !is_inside || *previous.endpoint != *endpoint {
+                continue;
+            }
+            match answer {
+                Answer::Done(handover) => self.begin_granting(index, handover.clone(), now),
+                _ => *is_asked = false,
+            }
+        }
+        if let Some(seat) = self.seat_mut(endpoint) {
+            match answer {
+                Answer::Done(_) => seat.silent_since = None,
+                Answer::Ended => seat.needs_fence = true,
+                _ => {
+                    seat.silent_since.get_or_insert(now);
+                }
+            }
+        }
+    }
+
+    /// Takes in the answer to a probe.
+    pub fn probed(&mut self, endpoint: &str, answer: &Answer, now: Instant) {
+        let Some(seat) = self.seat_mut(endpoint) else {
+            return;
+        };
+        seat.is_busy = false;
+        if matches!(answer, Answer::Done(_)) {
+            seat.silent_since = None;
+            seat.needs_proof = false;
+            seat.next = now;
+        } else {
+            seat.silent_since.get_or_insert(now);
+        }
+    }
+
+    /// Notes that an endpoint does not hold what it should.
+    pub fn doubt(&mut self, endpoint: &str, now: Instant) {
+        if let Some(seat) = self.seat_mut(endpoint) {
+            seat.next = seat.next.min(now);
+        }
+    }
+}
+
+impl Piece {
+    fn names(&self, endpoint: &str) -> bool {
+        let is = |owner: &Owner| *owner.endpoint == *endpoint;
+        let is_previous = match &self.phase {
+            Phase::Settling { previous, .. } => is(previous),
+            _ => false,
+        };
+        is_previous || self.owner.as_ref().is_some_and(is)
+    }
+
+    fn range(&self) -> Range {
+        Range {
+            from: self.from,
+            to: self.to,
+            owner: self.owner.clone(),
+            previous: match &self.phase {
+                Phase::Settling { previous, .. } => Some(previous.clone()),
+                _ => None,
+            },
+            fence: self.fence,
+        }
+    }
+}
+
+/// Makes an edit: cuts the pieces at its ends and changes what lies between.
+fn apply(pieces: &mut Vec<Piece>, edit: &Edit, now: Instant) {
+    split(pieces, edit.from);
+    if let Some(next) = edit.to.checked_add(1) {
+        split(pieces, next);
+    }
+    for piece in pieces.iter_mut() {
+        if piece.from < edit.from || piece.to > edit.to {
+            continue;
+        }
+        piece.fence = edit.fence;
+        if piece.owner == edit.owner {
+            // The same owner under a higher fence: it keeps what it has.
+            continue;
+        }
+        piece.handover = None;
+        piece.changed = now;
+        let previous = edit.previous.clone();
+        let until = match &piece.phase {
+            Phase::Settling { until, .. } => *until,
+            _ => piece.bound,
+        };
+        piece.phase = match previous {
+            Some(previous) => Phase::Settling {
+                previous,
+                until,
+                is_asked: false,
+            },
+            None => Phase::Granting,
+        };
+        piece.bound = now;
+        piece.owner = edit.owner.clone();
+    }
+}
+
+fn split(pieces: &mut Vec<Piece>, at: u16) {
+    let place = pieces.partition_point(|piece| piece.to < at);
+    if place >= pieces.len() || pieces[place].from == at {
+        return;
+    }
+    let mut second = pieces[place].clone();
+    second.from = at;
+    pieces[place].to = at - 1;
+    pieces.insert(place + 1, second);
+}
+
+/// Joins neighbours of one owner that are held.
+///
+/// The joined piece keeps the fence of the first; its next grant is a renewal
+/// of the one and no more than that for the other, so both must be equal.
+fn join(pieces: &mut Vec<Piece>) {
+    let mut index = 0;
+    while index + 1 < pieces.len() {
+        let (first, second) = (&pieces[index], &pieces[index + 1]);
+        let is_same = first.owner == second.owner
+            && first.fence == second.fence
+            && first.phase == Phase::Held
+            && second.phase == Phase::Held;
+        if is_same {
+            let bound = first.bound.max(second.bound);
+            let changed = first.changed.max(second.changed);
+            let to = second.to;
+            pieces.remove(index + 1);
+            let piece = &mut pieces[index];
+            piece.to = to;
+            piece.bound = bound;
+            piece.changed = changed;
+        } else {
+            index += 1;
+        }
+    }
+}
+
+/// Returns the span after whose end a grant of `hold` is over, from its sending.
+fn over(hold: Duration) -> Duration {
+    hold + hold * SLOW_CLOCK_PERCENT / 100 + ORDER_TIMEOUT + TIMER_MARGIN
+}
+
+fn now_to(at: Instant, now: Instant) -> Duration {
+    at.since(now)
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,15 +6,23 @@
 
 pub mod admit;
 pub mod dispatch;
+pub mod holding;
 pub mod intent;
+pub mod manifest;
 pub mod member;
+pub mod mirror;
+pub mod permit;
 pub mod place;
 pub mod plan;
 pub mod planner;
+pub mod rank;
 pub mod release;
 pub mod renewers;
+pub mod retry;
+pub mod roster;
 pub mod seat;
 pub mod shard;
+pub mod spread;
 pub mod table;
 pub mod ticket;
 pub mod time;
--- /dev/null
+++ b/src/core/permit.rs
@@ -0,0 +1,931 @@
+//! Who may send a request to which endpoint, and when.
+//!
+//! Answers the crest of a swing at endpoints with two slots and many senders:
+//! one VM hands out the slots of a service, so that requests wait here, in
+//! order, and not at an endpoint that happens to be busy. A request asks for
+//! a permit; the permit names the endpoint and ends with the answer.
+//!
+//! - Order: rank, then requests that can still meet their goal by that goal,
+//!   then late ones by their deadline.
+//! - Admission: a request that cannot meet its goal waits only if there is
+//!   room to spare, else it is refused at once with the time at which there
+//!   will be room. Room is judged from the work ahead and the learned speed.
+//! - Choice of the endpoint: the least expected time, where another zone
+//!   costs more the more bytes have to cross, and an endpoint to which the
+//!   asking VM has an open connection costs less.
+//! - An endpoint that fails is left out for a while, longer each time; never
+//!   more than half of a service at once.
+
+use crate::core::{
+    retry::{
+        Bound,
+        Budget, //
+    },
+    roster::Endpoint,
+    time::Instant,
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+/// Service time assumed before any was seen, in microseconds.
+const UNKNOWN_SERVICE_US: f64 = 60_000.0;
+
+/// Weight of one answer in the mean service time of a class.
+const CLASS_WEIGHT: f64 = 1.0 / 64.0;
+
+/// Weight of one answer in the slowness of an endpoint.
+const SLOWNESS_WEIGHT: f64 = 1.0 / 8.0;
+
+/// Bounds on the slowness of an endpoint, relative to the mean.
+const SLOWNESS_RANGE: (f64, f64) = (0.3, 12.0);
+
+/// Largest slowness that one answer may show, so that one straggler is no verdict.
+const SLOWNESS_SAMPLE_MAX: f64 = 6.0;
+
+/// Slowness of an endpoint that has not answered yet: tried before known ones.
+const SLOWNESS_UNKNOWN: f64 = 0.7;
+
+/// How much longer a cold endpoint takes.
+const COLD_FACTOR: f64 = 2.0;
+
+/// Weight of one outcome in the share of failures of an endpoint.
+const FAILURE_WEIGHT: f64 = 1.0 / 6.0;
+
+/// Share of failures from which an endpoint is left out.
+const FAILURE_LIMIT: f64 = 0.6;
+
+/// How long an endpoint is left out at first and at most.
+const BLOCK_RANGE: (Duration, Duration) =
+    (Duration::from_millis(250), Duration::from_millis(2000));
+
+/// Time by which a request from another zone has to be better served, in microseconds.
+const ZONE_COST_US: f64 = 4_000.0;
+
+/// The same for each byte of its body: a kilobyte weighs four milliseconds.
+const ZONE_COST_US_PER_BYTE: f64 = 4.0;
+
+/// Body from which a request waits for an endpoint of its own zone, in bytes.
+const LARGE_BODY: u32 = 16 * 1024;
+
+/// How long a large request waits for an endpoint of its own zone.
+const OWN_ZONE_WAIT: Duration = Duration::from_millis(60);
+
+/// What an open connection is worth, in microseconds.
+const WARM_BONUS_US: f64 = 15_000.0;
+
+/// How long a connection is taken to stay open.
+const WARM_FOR: Duration = Duration::from_millis(3_500);
+
+/// Connections that are remembered for each endpoint.
+const WARM_MAX: usize = 24;
+
+/// An endpoint without a request for this long is tried before others.
+const IDLE_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// What that is worth, in microseconds.
+const IDLE_BONUS_US: f64 = 40_000.0;
+
+/// Part of the goal that is kept for the way to the caller.
+const GOAL_MARGIN: Duration = Duration::from_millis(10);
+
+/// Load above which late requests are refused, as a share of capacity.
+const SPARE_LOAD: f64 = 0.9;
+
+/// Span over which the load is averaged, in microseconds.
+const LOAD_SPAN_US: f64 = 1_000_000.0;
+
+/// Part of its time that a request may wait, as one part in this many.
+const WAIT_DIVISOR: u32 = 3;
+
+/// Shortest time after which a refused caller may return.
+const RETRY_MIN: Duration = Duration::from_millis(60);
+
+/// Time after which it may return when no end of the overload is in sight.
+const RETRY_OVERLOADED: Duration = Duration::from_millis(1_000);
+
+/// Requests beyond its slots that an endpoint with keys is sent.
+const KEYED_PREFETCH: usize = 1;
+
+/// Most requests that wait.
+const WAITING_MAX: usize = 2_048;
+
+/// How long after its grant a permit may be missing from its asker's list.
+const LIST_LAG: Duration = Duration::from_millis(150);
+
+/// How long an asker may be silent before its permits end.
+const ASKER_SILENCE: Duration = Duration::from_millis(1_500);
+
+key! {
+    /// A request for a permit.
+    pub struct Ticket {
+        /// VM that asks.
+        pub asker: SocketAddr,
+        /// Its number there.
+        pub number: u64,
+    }
+}
+
+record! {
+    /// What is asked for.
+    pub struct Ask {
+        /// Kind of work; requests of a kind take about the same time.
+        pub class: u32,
+        /// Key, if the service is keyed.
+        pub key: Option<u16>,
+        /// Rank; 0 goes first.
+        pub rank: u8,
+        /// Time left in which the answer earns most, in microseconds.
+        pub goal_us: u64,
+        /// Time left at all, in microseconds.
+        pub left_us: u64,
+        /// Whether the request was sent to an endpoint before.
+        pub is_repeat: bool,
+        /// Whether its caller was refused before.
+        pub is_return: bool,
+        /// Length of the body.
+        pub bytes: u32,
+        /// Availability zone of the asker.
+        pub zone: Box<str>,
+        /// Endpoints that failed it.
+        pub avoid: Vec<Box<str>>,
+    }
+}
+
+/// How a permit ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The endpoint answered.
+    Answered,
+    /// The endpoint could not be reached; nothing was sent.
+    Unreachable,
+    /// The endpoint took the request and failed it.
+    Failed,
+    /// The endpoint refused the request without running it.
+    Shed,
+    /// The endpoint does not hold the key.
+    NotHolder,
+    /// The caller left, or the request was not sent.
+    Dropped,
+}
+
+/// Why there is no permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// The request could not meet its goal.
+    Full,
+    /// It waited as long as it may.
+    Waited,
+    /// The service may get no more repeats.
+    Budget,
+    /// No endpoint of the service can be used.
+    NoEndpoint,
+    /// The key has no owner at present.
+    NoOwner,
+}
+
+/// A refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When there will be room.
+    pub retry_after: Duration,
+}
+
+/// Where a key is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place<'a> {
+    /// At an endpoint.
+    At(&'a str),
+    /// On its way to an endpoint.
+    Moving(&'a str),
+    /// Nowhere for about so long.
+    Nowhere(Duration),
+}
+
+impl<'a> Place<'a> {
+    /// Returns the endpoint that has the key, or is to get it.
+    pub fn endpoint(self) -> Option<&'a str> {
+        match self {
+            Self::At(id) | Self::Moving(id) => Some(id),
+            Self::Nowhere(_) => None,
+        }
+    }
+}
+
+/// Finds the place of a key.
+pub type Locate<'a> = dyn Fn(u16) -> Place<'a> + 'a;
+
+/// What changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Turn {
+    /// Requests that may be sent now, and where.
+    pub starts: Vec<(Ticket, Box<str>)>,
+    /// Requests that wait no longer.
+    pub refusals: Vec<(Ticket, Refusal)>,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    ask: Ask,
+    since: Instant,
+    goal: Instant,
+    deadline: Instant,
+    until: Instant,
+    is_late: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    ticket: Ticket,
+    class: u32,
+    since: Instant,
+    until: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Server {
+    id: Box<str>,
+    zone: Box<str>,
+    slots: usize,
+    is_leaving: bool,
+    is_listed: bool,
+    cold_until: Instant,
+    running: Vec<Running>,
+    slowness: f64,
+    samples: u32,
+    failures: f64,
+    misses: u32,
+    blocked_until: Instant,
+    used_at: Instant,
+    warm: Vec<(SocketAddr, Instant)>,
+    load: f64,
+    load_at: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Class {
+    id: u32,
+    mean_us: f64,
+    samples: u32,
+}
+
+/// Hands out the slots of one service.
+#[derive(Clone, Debug)]
+pub struct Desk {
+    servers: Vec<Server>,
+    waiting: Vec<Waiting>,
+    classes: Vec<Class>,
+    askers: Vec<(SocketAddr, Instant)>,
+    budget: Budget,
+    load: f64,
+    load_at: Instant,
+    noise: u64,
+}
+
+impl Desk {
+    /// Starts without endpoints.
+    pub fn new(bound: Bound) -> Self {
+        Self {
+            servers: Vec::new(),
+            waiting: Vec::new(),
+            classes: Vec::new(),
+            askers: Vec::new(),
+            budget: Budget::new(bound),
+            load: 0.0,
+            load_at: Instant::default(),
+            noise: 0x9e37_79b9_7f4a_7c15,
+        }
+    }
+
+    /// Sets which endpoints there are.
+    pub fn set_endpoints<'a>(
+        &mut self,
+        endpoints: impl Iterator<Item = (&'a Endpoint, Instant)>,
+        now: Instant,
+    ) {
+        for server in &mut self.servers {
+            server.is_listed = false;
+        }
+        for (endpoint, cold_until) in endpoints {
+            let place = self
+                .servers
+                .binary_search_by(|server| server.id.cmp(&endpoint.id));
+            let index = place.unwrap_or_else(|index| {
+                self.servers.insert(index, Server::new(endpoint, now));
+                index
+            });
+            let server = &mut self.servers[index];
+            server.is_listed = true;
+            server.is_leaving = endpoint.is_leaving;
+            server.slots = usize::from(endpoint.slots);
+            server.cold_until = cold_until;
+        }
+        self.servers
+            .retain(|server| server.is_listed || !server.running.is_empty());
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the number of requests that run.
+    pub fn running(&self) -> usize {
+        self.servers.iter().map(|server| server.running.len()).sum()
+    }
+
+    /// Returns an endpoint's capacity in requests of the usual mix a second.
+    pub fn capacity(&self, id: &str, now: Instant) -> Option<f64> {
+        let server = &self.servers[self.find(id)?];
+        let mean = self.mean_of_mix();
+        Some(server.slots as f64 * 1e6 / (mean * server.pace(now)))
+    }
+
+    fn mean_of_mix(&self) -> f64 {
+        let known = self.classes.iter().filter(|class| class.samples > 0);
+        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), class| {
+            let weight = f64::from(class.samples);
+            (sum + class.mean_us * weight, count + weight)
+        });
+        if count > 0.0 {
+            sum / count
+        } else {
+            UNKNOWN_SERVICE_US
+        }
+    }
+
+    fn find(&self, id: &str) -> Option<usize> {
+        let place = self
+            .servers
+            .binary_search_by(|server| (*server.id).cmp(id));
+        place.ok()
+    }
+
+    fn mean_us(&self, class: u32) -> f64 {
+        match self.classes.binary_search_by_key(&class, |class| class.id) {
+            Ok(index) if self.classes[index].samples > 0 => self.classes[index].mean_us,
+            _ => self.mean_of_mix(),
+        }
+    }
+
+    /// Takes a request in, or refuses it at once.
+    pub fn arrive(
+        &mut self,
+        ticket: Ticket,
+        ask: Ask,
+        locate: &Locate<'_>,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        self.hear(ticket.asker, now);
+        if self.is_known(ticket) {
+            return Ok(());
+        }
+        if !ask.is_repeat {
+            self.budget.count_first(now);
+        }
+        let judged = self.judge(&ask, locate, now)?;
+        if ask.is_repeat && !self.budget.take(now) {
+            return Err(self.refuse(Reason::Budget, RETRY_MIN));
+        }
+        let left = Duration::from_micros(ask.left_us);
+        let goal = Duration::from_micros(ask.goal_us);
+        let goal = now.after(goal.saturating_sub(GOAL_MARGIN));
+        let until = match judged {
+            Fit::InTime => goal,
+            Fit::Late => now.after(left / WAIT_DIVISOR),
+        };
+        let waiting = Waiting {
+            ticket,
+            since: now,
+            goal,
+            deadline: now.after(left),
+            until,
+            is_late: judged == Fit::Late,
+            ask,
+        };
+        self.insert(waiting);
+        Ok(())
+    }
+
+    fn insert(&mut self, waiting: Waiting) {
+        let goal = waiting.order();
+        let place = self
+            .waiting
+            .partition_point(|other| other.order() <= goal);
+        self.waiting.insert(place, waiting);
+    }
+
+    fn is_known(&self, ticket: Ticket) -> bool {
+        self.waiting.iter().any(|waiting| waiting.ticket == ticket) || self.running_at(ticket).is_some()
+    }
+
+    /// Returns the endpoint at which a request runs.
+    pub fn running_at(&self, ticket: Ticket) -> Option<&str> {
+        let runs = |server: &&Server| server.running.iter().any(|other| other.ticket == ticket);
+        self.servers.iter().find(runs).map(|server| &*server.id)
+    }
+
+    /// Judges whether there is room for a request.
+    fn judge(&mut self, ask: &Ask, locate: &Locate<'_>, now: Instant) -> Result<Fit, Refusal> {
+        let mean = self.mean_us(ask.class);
+        let estimate = match ask.key {
+            Some(key) => self.estimate_keyed(ask, locate(key), locate, mean, now)?,
+            None => self.estimate_pooled(ask, mean, now)?,
+        };
+        let goal = ask.goal_us as f64 - GOAL_MARGIN.as_micros() as f64;
+        if estimate.finish_us <= goal && self.waiting.len() < WAITING_MAX {
+            return Ok(Fit::InTime);
+        }
+        let left = ask.left_us as f64;
+        let may_wait = estimate.wait_us <= left / f64::from(WAIT_DIVISOR)
+            && estimate.finish_us <= left;
+        let is_spare = estimate.wait_us == 0.0 || estimate.load < SPARE_LOAD;
+        if may_wait && is_spare && self.waiting.len() < WAITING_MAX {
+            return Ok(Fit::Late);
+        }
+        let excess = Duration::from_micros((estimate.finish_us - goal).max(0.0) as u64);
+        let after = if estimate.load < 1.0 {
+            excess
+        } else {
+            excess.max(RETRY_OVERLOADED)
+        };
+        Err(self.refuse(Reason::Full, after))
+    }
+
+    /// Spreads the return of refused callers over half as long again.
+    fn refuse(&mut self, reason: Reason, after: Duration) -> Refusal {
+        self.noise ^= self.noise << 13;
+        self.noise ^= self.noise >> 7;
+        self.noise ^= self.noise << 17;
+        let after = after.max(RETRY_MIN);
+        let spread = (after / 2).as_micros() as u64;
+        Refusal {
+            reason,
+            retry_after: after + Duration::from_micros(self.noise % spread.max(1)),
+        }
+    }
+
+    fn estimate_keyed(
+        &mut self,
+        ask: &Ask,
+        place: Place<'_>,
+        locate: &Locate<'_>,
+        mean: f64,
+        now: Instant,
+    ) -> Result<Estimate, Refusal> {
+        let (id, moving_us) = match place {
+            Place::At(id) => (id, 0.0),
+            Place::Moving(id) => (id, mean),
+            Place::Nowhere(span) => {
+                // Who cannot wait that long is told when to come back.
+                let can_wait = span.as_micros() as u64 * u64::from(WAIT_DIVISOR) <= ask.left_us;
+                if can_wait && span.as_micros() as u64 <= ask.goal_us {
+                    return Ok(Estimate {
+                        wait_us: 0.0,
+                        finish_us: span.as_micros() as f64 + mean,
+                        load: 0.0,
+                    });
+                }
+                return Err(self.refuse(Reason::NoOwner, span));
+            }
+        };
+        let Some(index) = self.find(id) else {
+            return Err(self.refuse(Reason::NoOwner, RETRY_OVERLOADED));
+        };
+        let order = (ask.rank, false, now.after(Duration::from_micros(ask.goal_us)));
+        let ahead = self.waiting.iter().filter(|other| {
+            let owner = other.ask.key.and_then(|key| locate(key).endpoint());
+            owner == Some(id) && other.order() <= order
+        });
+        let ahead_us: f64 = ahead.map(|other| self.mean_us(other.ask.class)).sum();
+        let server = &self.servers[index];
+        let pace = server.pace(now);
+        let slots = server.slots.max(1) as f64;
+        let running = server.running.len() as f64;
+        let blocked_us = server.blocked_until.since(now).as_micros() as f64;
+        let free = (slots - running).max(0.0);
+        let wait_us = if free >= 1.0 && ahead_us == 0.0 {
+            0.0
+        } else {
+            let rest = (running - slots).max(0.0) * mean + mean / 2.0;
+            (ahead_us + rest) * pace / slots
+        };
+        let wait_us = wait_us + moving_us + blocked_us;
+        let load = self.servers[index].offer(mean * pace / slots, now);
+        Ok(Estimate {
+            wait_us,
+            finish_us: wait_us + mean * pace,
+            load,
+        })
+    }
+
+    fn estimate_pooled(&mut self, ask: &Ask, mean: f64, now: Instant) -> Result<Estimate, Refusal> {
+        let usable: Vec<usize> = self.usable(now);
+        if usable.is_empty() {
+            return Err(self.refuse(Reason::NoEndpoint, BLOCK_RANGE.0));
+        }
+        let mut capacity = 0.0;
+        let mut best_pace = f64::MAX;
+        for &index in &usable {
+            let server = &self.servers[index];
+            let pace = server.pace(now);
+            capacity += server.slots as f64 / pace;
+            if server.running.len() < server.slots {
+                best_pace = best_pace.min(pace);
+            }
+        }
+        let order = (ask.rank, false, now.after(Duration::from_micros(ask.goal_us)));
+        let ahead = self.waiting.iter().filter(|other| other.order() <= order);
+        let ahead_us: f64 = ahead.map(|other| self.mean_us(other.ask.class)).sum();
+        let work = mean / capacity.max(f64::MIN_POSITIVE);
+        let load = offer(&mut self.load, &mut self.load_at, work, now);
+        if best_pace < f64::MAX && ahead_us == 0.0 {
+            return Ok(Estimate {
+                wait_us: 0.0,
+                finish_us: mean * best_pace,
+                load,
+            });
+        }
+        let usual_pace = usable.iter().map(|&index| self.servers[index].slots as f64).sum::<f64>()
+            / capacity.max(f64::MIN_POSITIVE);
+        let wait_us = (ahead_us + mean) / capacity.max(f64::MIN_POSITIVE);
+        Ok(Estimate {
+            wait_us,
+            finish_us: wait_us + mean * usual_pace,
+            load,
+        })
+    }
+
+    /// Returns the endpoints that take work: all that are not left out, or,
+    /// if more than half would be, those that failed least.
+    fn usable(&self, now: Instant) -> Vec<usize> {
+        let listed = (0..self.servers.len()).filter(|&index| {
+            let server = &self.servers[index];
+            server.is_listed && !server.is_leaving
+        });
+        let mut listed: Vec<usize> = listed.collect();
+        let open = listed
+            .iter()
+            .filter(|&&index| self.servers[index].blocked_until <= now);
+        let open = open.count();
+        if open * 2 >= listed.len() {
+            listed.retain(|&index| self.servers[index].blocked_until <= now);
+        } else {
+            listed.sort_by(|&a, &b| {
+                let key = |index: usize| {
+                    let server = &self.servers[index];
+                    (server.blocked_until > now, server.misses)
+                };
+                key(a).cmp(&key(b))
+            });
+            listed.truncate(listed.len().div_ceil(2).max(open));
+        }
+        listed
+    }
+
+    /// Gives out free slots and ends what has waited too long.
+    pub fn turn(&mut self, locate: &Locate<'_>, now: Instant) -> Turn {
+        let mut turn = Turn::default();
+        self.expire(&mut turn, now);
+        let mut full: Vec<Box<str>> = Vec::new();
+        let mut is_pool_full = false;
+        let mut index = 0;
+        while index < self.waiting.len() {
+            let chosen = match self.waiting[index].ask.key {
+                Some(key) => self.choose_keyed(locate(key), &full, now),
+                None if is_pool_full => None,
+                None => {
+                    let choice = self.choose_pooled(index, now);
+                    is_pool_full = choice == Choice::Full;
+                    choice.server()
+                }
+            };
+            let Some(server) = chosen else {
+                if let Some(Place::At(id)) = self.waiting[index].ask.key.map(locate) {
+                    if !full.iter().any(|other| **other == *id) {
+                        full.push(id.into());
+                    }
+                }
+                index += 1;
+                continue;
+            };
+            let waiting = self.waiting.remove(index);
+            self.start(server, &waiting, now);
+            turn.starts
+                .push((waiting.ticket, self.servers[server].id.clone()));
+        }
+        turn
+    }
+
+    fn expire(&mut self, turn: &mut Turn, now: Instant) {
+        let mut late = Vec::new();
+        let mut index = 0;
+        while index < self.waiting.len() {
+            let waiting = &self.waiting[index];
+            if waiting.until > now {
+                index += 1;
+                continue;
+            }
+            let waiting = self.waiting.remove(index);
+            late.push(waiting);
+        }
+        for mut waiting in late {
+            let limit = waiting.since.after(waiting.deadline.since(waiting.since) / WAIT_DIVISOR);
+            let is_spare = self.load < SPARE_LOAD && waiting.ask.key.is_none();
+            if !waiting.is_late && limit > now && is_spare {
+                waiting.is_late = true;
+                waiting.until = limit;
+                self.insert(waiting);
+                continue;
+            }
+            let refusal = self.refuse(Reason::Waited, RETRY_MIN);
+            turn.refusals.push((waiting.ticket, refusal));
+        }
+    }
+
+    fn choose_keyed(&self, place: Place<'_>, full: &[Box<str>], now: Instant) -> Option<usize> {
+        let Place::At(id) = place else { return None };
+        if full.iter().any(|other| **other == *id) {
+            return None;
+        }
+        let index = self.find(id)?;
+        let server = &self.servers[index];
+        let limit = server.slots + KEYED_PREFETCH;
+        let is_free = server.running.len() < limit && server.blocked_until <= now;
+        is_free.then_some(index)
+    }
+
+    fn choose_pooled(&self, index: usize, now: Instant) -> Choice {
+        let waiting = &self.waiting[index];
+        let usable = self.usable(now);
+        let free = usable.iter().copied().filter(|&index| {
+            let server = &self.servers[index];
+            server.running.len() < server.slots
+        });
+        let mut free: Vec<usize> = free.collect();
+        if free.is_empty() {
+            return Choice::Full;
+        }
+        let ask = &waiting.ask;
+        let is_avoided = |index: usize| ask.avoid.iter().any(|id| *id == self.servers[index].id);
+        if usable.iter().any(|&index| !is_avoided(index)) {
+            free.retain(|&index| !is_avoided(index));
+        }
+        let is_large = ask.bytes >= LARGE_BODY;
+        let has_own = usable.iter().any(|&index| self.servers[index].zone == ask.zone);
+        if is_large && has_own && now.since(waiting.since) < OWN_ZONE_WAIT {
+            free.retain(|&index| self.servers[index].zone == ask.zone);
+        }
+        let mean = self.mean_us(ask.class);
+        let cost = |&index: &usize| self.servers[index].cost(ask, waiting.ticket.asker, mean, now);
+        let best = free
+            .into_iter()
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        best.map_or(Choice::Wait, Choice::Server)
+    }
+
+    fn start(&mut self, index: usize, waiting: &Waiting, now: Instant) {
+        let server = &mut self.servers[index];
+        server.used_at = now;
+        server.running.push(Running {
+            ticket: waiting.ticket,
+            class: waiting.ask.class,
+            since: now,
+            until: waiting.deadline,
+        });
+        let asker = waiting.ticket.asker;
+        match server.warm.iter_mut().find(|(warm, _)| *warm == asker) {
+            Some(warm) => warm.1 = now,
+            None => {
+                if server.warm.len() >= WARM_MAX {
+                    let oldest = (0..WARM_MAX).min_by_key(|&index| server.warm[index].1);
+                    server.warm.swap_remove(oldest.unwrap_or(0));
+                }
+                server.warm.push((asker, now));
+            }
+        }
+    }
+
+    /// Ends a permit; `took` is how long the endpoint was at it.
+    pub fn end(&mut self, ticket: Ticket, outcome: Outcome, took: Duration, now: Instant) {
+        self.hear(ticket.asker, now);
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+        for index in 0..self.servers.len() {
+            let running = &mut self.servers[index].running;
+            let Some(place) = running.iter().position(|other| other.ticket == ticket) else {
+                continue;
+            };
+            let ended = running.swap_remove(place);
+            if outcome == Outcome::Answered {
+                self.learn(index, ended.class, took, now);
+            }
+            self.servers[index].judge(outcome, now);
+            return;
+        }
+    }
+
+    fn learn(&mut self, index: usize, class: u32, took: Duration, now: Instant) {
+        let place = self.classes.binary_search_by_key(&class, |class| class.id);
+        let place = place.unwrap_or_else(|place| {
+            let class = Class {
+                id: class,
+                mean_us: 0.0,
+                samples: 0,
+            };
+            self.classes.insert(place, class);
+            place
+        });
+        let took_us = took.as_micros() as f64;
+        let class = &mut self.classes[place];
+        class.samples = class.samples.saturating_add(1);
+        let weight = (1.0 / f64::from(class.samples)).max(CLASS_WEIGHT);
+        let server = &mut self.servers[index];
+        if now >= server.cold_until {
+            class.mean_us += (took_us - class.mean_us) * weight;
+        } else if class.samples == 1 {
+            class.mean_us = took_us / COLD_FACTOR;
+        }
+        let cold = server.cold_factor(now);
+        let sample = took_us / (class.mean_us * cold).max(1.0);
+        let sample = sample.clamp(SLOWNESS_RANGE.0, SLOWNESS_SAMPLE_MAX);
+        server.samples = server.samples.saturating_add(1);
+        let weight = (1.0 / f64::from(server.samples + 1)).max(SLOWNESS_WEIGHT);
+        let slowness = server.slowness + (sample - server.slowness) * weight;
+        server.slowness = slowness.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
+    }
+
+    fn hear(&mut self, asker: SocketAddr, now: Instant) {
+        match self.askers.binary_search_by_key(&asker, |&(asker, _)| asker) {
+            Ok(index) => self.askers[index].1 = now,
+            Err(index) => self.askers.insert(index, (asker, now)),
+        }
+    }
+
+    /// Ends the permits that an asker no longer lists among its open ones.
+    pub fn reconcile(&mut self, asker: SocketAddr, open: &[u64], now: Instant) {
+        self.hear(asker, now);
+        for server in &mut self.servers {
+            server.running.retain(|running| {
+                running.ticket.asker != asker
+                    || now.since(running.since) < LIST_LAG
+                    || open.contains(&running.ticket.number)
+            });
+        }
+    }
+
+    /// Ends the permits of silent askers and those whose time is up.
+    pub fn sweep(&mut self, now: Instant) {
+        let silent: Vec<SocketAddr> = self
+            .askers
+            .iter()
+            .filter(|(_, heard)| now.since(*heard) > ASKER_SILENCE)
+            .map(|&(asker, _)| asker)
+            .collect();
+        self.askers
+            .retain(|(asker, _)| silent.binary_search(asker).is_err());
+        for server in &mut self.servers {
+            server.running.retain(|running| {
+                running.until > now && silent.binary_search(&running.ticket.asker).is_err()
+            });
+        }
+        self.waiting
+            .retain(|waiting| silent.binary_search(&waiting.ticket.asker).is_err());
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fit {
+    InTime,
+    Late,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Choice {
+    Server(usize),
+    Wait,
+    Full,
+}
+
+impl Choice {
+    fn server(self) -> Option<usize> {
+        match self {
+            Self::Server(index) => Some(index),
+            Self::Wait | Self::Full => None,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    wait_us: f64,
+    finish_us: f64,
+    load: f64,
+}
+
+impl Waiting {
+    fn order(&self) -> (u8, bool, Instant) {
+        let by = if self.is_late { self.deadline } else { self.goal };
+        (self.ask.rank, self.is_late, by)
+    }
+}
+
+impl Server {
+    fn new(endpoint: &Endpoint, now: Instant) -> Self {
+        Self {
+            id: endpoint.id.clone(),
+            zone: endpoint.zone.clone(),
+            slots: usize::from(endpoint.slots),
+            is_leaving: endpoint.is_leaving,
+            is_listed: true,
+            cold_until: now,
+            running: Vec::new(),
+            slowness: SLOWNESS_UNKNOWN,
+            samples: 0,
+            failures: 0.0,
+            misses: 0,
+            blocked_until: Instant::default(),
+            used_at: now,
+            warm: Vec::new(),
+            load: 0.0,
+            load_at: now,
+        }
+    }
+
+    fn cold_factor(&self, now: Instant) -> f64 {
+        if now < self.cold_until {
+            COLD_FACTOR
+        } else {
+            1.0
+        }
+    }
+
+    /// How much longer than the mean a request takes here.
+    fn pace(&self, now: Instant) -> f64 {
+        self.slowness * self.cold_factor(now)
+    }
+
+    fn offer(&mut self, work: f64, now: Instant) -> f64 {
+        offer(&mut self.load, &mut self.load_at, work, now)
+    }
+
+    fn cost(&self, ask: &Ask, asker: SocketAddr, mean: f64, now: Instant) -> f64 {
+        let mut cost = mean * self.pace(now) * (1.0 + 3.0 * self.failures);
+        if self.zone != ask.zone {
+            cost += ZONE_COST_US + ZONE_COST_US_PER_BYTE * f64::from(ask.bytes);
+        }
+        let is_warm = |&(warm, at): &(SocketAddr, Instant)| {
+            warm == asker && now.since(at) < WARM_FOR
+        };
+        if self.warm.iter().any(is_warm) {
+            cost -= WARM_BONUS_US;
+        }
+        if now.since(self.used_at) > IDLE_LIMIT {
+            cost -= IDLE_BONUS_US;
+        }
+        cost
+    }
+
+    fn judge(&mut self, outcome: Outcome, now: Instant) {
+        match outcome {
+            Outcome::Answered => {
+                self.misses = 0;
+                self.failures -= self.failures * FAILURE_WEIGHT;
+            }
+            Outcome::Unreachable => {
+                self.misses += 1;
+                self.block(now);
+            }
+            Outcome::Failed | Outcome::Shed => {
+                self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
+                if self.failures > FAILURE_LIMIT {
+                    self.misses += 1;
+                    self.block(now);
+                }
+            }
+            Outcome::NotHolder | Outcome::Dropped => {}
+        }
+    }
+
+    fn block(&mut self, now: Instant) {
+        let doublings = self.misses.saturating_sub(1).min(4);
+        let span = (BLOCK_RANGE.0 * 2_u32.pow(doublings)).min(BLOCK_RANGE.1);
+        self.blocked_until = now.after(span);
+    }
+}
+
+/// Adds work to a decaying average and returns the load.
+fn offer(load: &mut f64, at: &mut Instant, work: f64, now: Instant) -> f64 {
+    let passed = now.since(*at).as_micros() as f64;
+    *load *= (-passed / LOAD_SPAN_US).exp();
+    *load += work / LOAD_SPAN_US;
+    *at = now;
+    *load
+}
--- /dev/null
+++ b/src/core/retry.rs
@@ -0,0 +1,88 @@
+//! How many repeats a service gets.
+//!
+//! Answers a service in trouble: without a bound, each failing endpoint would
+//! be sent a multiple of its load. Repeats in any window stay under a share
+//! of the first tries in it, and a fixed allowance.
+
+use crate::core::time::Instant;
+use std::time::Duration;
+
+/// Parts into which the window is divided.
+const BUCKETS: usize = 10;
+
+/// Part of the allowance that is used, in hundredths.
+///
+/// What is left covers two dispatchers of one service for a moment, and
+/// repeats that VMs make without asking one.
+const USED_PERCENT: u64 = 60;
+
+/// Bound on the repeats of one service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bound {
+    /// Repeats for each first try, in thousandths.
+    pub share_millis: u64,
+    /// Repeats on top of that.
+    pub slack: u64,
+    /// Span in which they are counted.
+    pub window: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    slot: u64,
+    firsts: u64,
+    repeats: u64,
+}
+
+/// Counts first tries and repeats of one service.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    bound: Bound,
+    buckets: [Bucket; BUCKETS],
+}
+
+impl Budget {
+    /// Starts without a count.
+    pub fn new(bound: Bound) -> Self {
+        Self {
+            bound,
+            buckets: [Bucket::default(); BUCKETS],
+        }
+    }
+
+    fn bucket(&mut self, now: Instant) -> &mut Bucket {
+        let width = (self.bound.window.as_micros() as u64 / BUCKETS as u64).max(1);
+        let slot = now.0 / width;
+        let bucket = &mut self.buckets[slot as usize % BUCKETS];
+        if bucket.slot != slot {
+            *bucket = Bucket {
+                slot,
+                ..Bucket::default()
+            };
+        }
+        bucket
+    }
+
+    /// Counts a first try.
+    pub fn count_first(&mut self, now: Instant) {
+        self.bucket(now).firsts += 1;
+    }
+
+    /// Counts a repeat if the bound allows one.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let slot = self.bucket(now).slot;
+        let recent = self
+            .buckets
+            .iter()
+            .filter(|bucket| bucket.slot + BUCKETS as u64 > slot);
+        let (firsts, repeats) = recent.fold((0, 0), |(firsts, repeats), bucket| {
+            (firsts + bucket.firsts, repeats + bucket.repeats)
+        });
+        let allowed = firsts * self.bound.share_millis / 1000 + self.bound.slack;
+        if (repeats + 1) * 100 > allowed * USED_PERCENT {
+            return false;
+        }
+        self.bucket(now).repeats += 1;
+        true
+    }
+}
--- a/src/kernel/connect.rs
+++ b/src/kernel/connect.rs
@@ -10,7 +10,11 @@
         bind,
         connect,
         socket_with,
-        sockopt::socket_error,
+        sockopt::{
+            set_socket_linger,
+            set_tcp_user_timeout,
+            socket_error, //
+        },
         AddressFamily,
         SocketFlags,
         SocketType, //
@@ -23,6 +27,7 @@
         SocketAddr,
         TcpStream, //
     },
+    time::Duration,
 };
 
 /// Connects to `target`, from `source` if one is given.
@@ -51,3 +56,14 @@
     socket_error(&stream)??;
     Ok(stream)
 }
+
+/// Ends the connection when sent bytes stay unconfirmed for `span`.
+pub fn limit_silence(stream: &Async<TcpStream>, span: Duration) -> io::Result<()> {
+    let millis = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+    Ok(set_tcp_user_timeout(stream, millis)?)
+}
+
+/// Makes closing drop what was not delivered yet.
+pub fn reset_on_close(stream: &Async<TcpStream>) -> io::Result<()> {
+    Ok(set_socket_linger(stream, Some(Duration::ZERO))?)
+}
--- a/src/kernel/plugin.rs
+++ b/src/kernel/plugin.rs
@@ -6,6 +6,9 @@
 
 use crate::{
     edge::{
+        fields::Fields,
+        lease,
+        objects,
         order,
         store,
         vms, //
@@ -25,6 +28,12 @@
     Order(fn(&Context) -> order::Handle),
     /// The platform's list of VMs.
     Vms(fn(&Context, SocketAddr) -> vms::Handle),
+    /// The platform's store of versioned objects.
+    Objects(fn(&Context, SocketAddr) -> objects::Handle),
+    /// Grants to endpoints.
+    Lease(fn(&Context) -> lease::Handle),
+    /// Header fields of callers and endpoints.
+    Fields(fn() -> Fields),
 }
 
 /// A dialect that registered itself.
@@ -68,6 +77,37 @@
     Ok(opener(context, address))
 }
 
+/// Opens the object store dialect called `name`.
+pub fn open_objects(
+    name: &str,
+    context: &Context,
+    address: SocketAddr,
+) -> Result<objects::Handle, Error> {
+    let opener = find(name, |open| match open {
+        Opener::Objects(open) => Some(*open),
+        _ => None,
+    })?;
+    Ok(opener(context, address))
+}
+
+/// Opens the grant dialect called `name`.
+pub fn open_lease(name: &str, context: &Context) -> Result<lease::Handle, Error> {
+    let opener = find(name, |open| match open {
+        Opener::Lease(open) => Some(*open),
+        _ => None,
+    })?;
+    Ok(opener(context))
+}
+
+/// Returns the header fields of the dialect called `name`.
+pub fn open_fields(name: &str) -> Result<Fields, Error> {
+    let opener = find(name, |open| match open {
+        Opener::Fields(open) => Some(*open),
+        _ => None,
+    })?;
+    Ok(opener())
+}
+
 fn find<T>(name: &str, of_kind: impl Fn(&Opener) -> Option<T>) -> Result<T, Error> {
     let dialects = inventory::iter::<Dialect>();
     let mut named = dialects.into_iter().filter(|dialect| dialect.name == name);
--- a/src/kernel/settings.rs
+++ b/src/kernel/settings.rs
@@ -41,7 +41,7 @@
 }
 
 /// An outside system and how to speak to it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Outside {
     /// Name of the dialect.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`core`] decides. It takes time and input as arguments and does no I/O.
 //! - [`kernel`] carries: runtime, clocks, HTTP, settings, logs, plug-ins.
 //! - [`daemon`] is the running process: it feeds the decisions and acts on them.
+//! - [`router`] is the process on the users' platform.
 //! - [`edge`] speaks to the outside systems, one module a dialect.
 //! - [`ops`] holds one file for each operation that a user sees.
 
@@ -19,3 +20,4 @@
 pub mod edge;
 pub mod kernel;
 pub mod ops;
+pub mod router;
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -10,6 +10,7 @@
 pub mod confirm;
 pub mod explain;
 pub mod plan;
+pub mod route;
 pub mod serve;
 pub mod services;
 pub mod signal;
--- /dev/null
+++ b/src/router/datagram.rs
@@ -0,0 +1,97 @@
+//! Datagrams between the VMs of the system.
+
+use crate::{
+    kernel::{
+        failure::Error,
+        wire::{
+            decode,
+            encode_compact, //
+        },
+    },
+    router::{
+        desk,
+        state::State,
+        wire::Datagram, //
+    },
+};
+use async_io::Async;
+use std::{
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
+    sync::Arc,
+};
+
+/// Largest datagram that is read.
+const DATAGRAM_MAX: usize = 16 * 1024;
+
+/// A bound socket.
+pub struct Socket {
+    /// Address that it is bound to.
+    pub address: SocketAddr,
+    socket: Async<UdpSocket>,
+}
+
+/// Binds a socket.
+pub fn bind(address: SocketAddr) -> Result<Socket, Error> {
+    let failed = |source| Error::Bind { address, source };
+    let socket = Async::<UdpSocket>::bind(address).map_err(failed)?;
+    let address = socket.get_ref().local_addr().map_err(failed)?;
+    Ok(Socket { address, socket })
+}
+
+/// Sends a datagram; to this process itself it goes at once.
+pub fn send(state: &Arc<State>, to: SocketAddr, datagram: Datagram) {
+    if to == state.socket.address {
+        handle(state, to, datagram);
+        return;
+    }
+    let bytes = encode_compact(&datagram);
+    // A datagram that is not sent is like one that is lost: it is repeated.
+    let _ = state.socket.socket.get_ref().send_to(&bytes, to);
+}
+
+/// Receives datagrams for as long as the process runs.
+pub async fn run(state: Arc<State>) {
+    let mut buffer = vec![0; DATAGRAM_MAX];
+    loop {
+        let (length, from) = match state.socket.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // Such errors tell of an earlier datagram that found no listener.
+                log::debug!("event=datagram_error why=\"{error}\"");
+                continue;
+            }
+        };
+        match decode::<Datagram>(&buffer[..length]) {
+            Ok(datagram) => {
+                state.hear(from);
+                handle(&state, from, datagram);
+            }
+            Err(error) => log::warn!("event=datagram_unreadable from={from} why=\"{error}\""),
+        }
+    }
+}
+
+fn handle(state: &Arc<State>, from: SocketAddr, datagram: Datagram) {
+    match datagram {
+        Datagram::Ask {
+            number,
+            service,
+            ask,
+        } => desk::ask(state, from, number, &service, ask),
+        Datagram::Done {
+            number,
+            service,
+            outcome,
+            took_us,
+        } => desk::done(state, from, number, &service, outcome, took_us),
+        Datagram::Open { service, numbers } => desk::open(state, from, &service, &numbers),
+        Datagram::Beat(beat) => state.hear_beat(from, &beat),
+        Datagram::Queued { .. }
+        | Datagram::Go { .. }
+        | Datagram::No { .. }
+        | Datagram::Elsewhere { .. } => state.asks.deliver(from, datagram),
+    }
+}
--- /dev/null
+++ b/src/router/desk.rs
@@ -0,0 +1,303 @@
+//! Handing out permits for the services that this VM dispatches for.
+//!
+//! The decisions are [`permit::Desk`]'s. A desk is opened when a peer first
+//! asks for a permit of its service, and closed when none has for a while.
+
+use crate::{
+    core::{
+        holding::{
+            Planner,
+            Spot, //
+        },
+        permit::{
+            self,
+            Ask,
+            Desk,
+            Locate,
+            Outcome,
+            Place,
+            Refusal,
+            Ticket,
+            Turn, //
+        },
+        spread::Heat,
+        time::Instant,
+    },
+    kernel::{
+        clock,
+        runtime::sleep, //
+    },
+    router::{
+        datagram::send,
+        state::{
+            State,
+            View, //
+        },
+        wire::Datagram,
+    },
+};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+/// How often waiting requests are looked at when nothing else happens.
+const TICK: Duration = Duration::from_millis(15);
+
+/// Ticks between two sweeps for permits whose asker is gone.
+const TICKS_PER_SWEEP: u64 = 16;
+
+/// Time for which a key without a known owner is expected to have none.
+const UNOWNED: Duration = Duration::from_millis(500);
+
+/// A service that this VM works for.
+pub struct Job {
+    /// Service.
+    pub service: Box<str>,
+    /// What the work needs.
+    pub inner: Mutex<Inner>,
+}
+
+/// State of a job.
+pub struct Inner {
+    /// Permits.
+    pub desk: Desk,
+    /// Requests by key; only at a planner.
+    pub heat: Heat,
+    /// The planner of a keyed service, if this VM holds the claim.
+    pub planner: Option<Planner>,
+    view: Arc<View>,
+    /// When a permit was last asked for.
+    pub asked: Instant,
+}
+
+impl Inner {
+    /// Takes over a new view.
+    pub fn set_view(&mut self, service: &str, view: &Arc<View>, now: Instant) {
+        if Arc::ptr_eq(&self.view, view) {
+            return;
+        }
+        self.view = Arc::clone(view);
+        let endpoints = view
+            .endpoints_of(service)
+            .map(|(endpoint, cold_until)| (&**endpoint, *cold_until));
+        self.desk.set_endpoints(endpoints, now);
+    }
+
+    /// Gives out what can be given out.
+    pub fn turn(&mut self, service: &str, now: Instant) -> Turn {
+        let Self {
+            desk,
+            planner,
+            view,
+            ..
+        } = self;
+        desk.turn(&*locate(service, planner.as_ref(), view, now), now)
+    }
+}
+
+fn locate<'a>(
+    service: &'a str,
+    planner: Option<&'a Planner>,
+    view: &'a View,
+    now: Instant,
+) -> Box<Locate<'a>> {
+    let table = view.table(service);
+    Box::new(move |key| match (planner, table) {
+        (Some(planner), _) => match planner.spot(key, now) {
+            Spot::Held(id) => Place::At(id),
+            Spot::Moving(id) => Place::Moving(id),
+            Spot::Vacant(span) => Place::Nowhere(span),
+        },
+        (None, Some((_, table))) => {
+            let owner = table.range(key).and_then(|range| range.owner.as_ref());
+            owner.map_or(Place::Nowhere(UNOWNED), |owner| Place::At(&owner.endpoint))
+        }
+        (None, None) => Place::Nowhere(UNOWNED),
+    })
+}
+
+/// Finds a job, or opens it.
+pub fn job(state: &State, service: &str) -> Arc<Job> {
+    let mut jobs = state.jobs.lock().unwrap();
+    match jobs.binary_search_by(|job| (*job.service).cmp(service)) {
+        Ok(index) => Arc::clone(&jobs[index]),
+        Err(index) => {
+            let job = Arc::new(Job {
+                service: service.into(),
+                inner: Mutex::new(Inner {
+                    desk: Desk::new(state.settings.bounds.retry),
+                    heat: Heat::default(),
+                    planner: None,
+                    view: Arc::new(View::default()),
+                    asked: clock::now(),
+                }),
+            });
+            log::info!("event=desk_opened service={service}");
+            jobs.insert(index, Arc::clone(&job));
+            job
+        }
+    }
+}
+
+/// Takes in a request for a permit.
+pub fn ask(state: &Arc<State>, from: SocketAddr, number: u64, service: &str, ask: Ask) {
+    let view = state.view();
+    let is_known = view
+        .manifest
+        .as_ref()
+        .is_some_and(|manifest| manifest.service(service).is_some());
+    if !is_known {
+        send(state, from, Datagram::Elsewhere { number });
+        return;
+    }
+    let now = clock::now();
+    let ticket = Ticket {
+        asker: from,
+        number,
+    };
+    let job = job(state, service);
+    let mut inner = job.inner.lock().unwrap();
+    inner.set_view(service, &view, now);
+    inner.asked = now;
+    if let Some(endpoint) = inner.desk.running_at(ticket) {
+        let endpoint = endpoint.into();
+        drop(inner);
+        send(state, from, Datagram::Go { number, endpoint });
+        return;
+    }
+    if let (Some(key), false) = (ask.key, ask.is_repeat) {
+        inner.heat.count(key);
+    }
+    let arrived = {
+        let Inner {
+            desk,
+            planner,
+            view,
+            ..
+        } = &mut *inner;
+        let locate = locate(service, planner.as_ref(), view, now);
+        desk.arrive(ticket, ask, &*locate, now)
+    };
+    let turn = match arrived {
+        Ok(()) => inner.turn(service, now),
+        Err(refusal) => Turn {
+            starts: Vec::new(),
+            refusals: vec![(ticket, refusal)],
+        },
+    };
+    drop(inner);
+    let is_decided = turn.starts.iter().any(|(other, _)| *other == ticket)
+        || turn.refusals.iter().any(|(other, _)| *other == ticket);
+    if !is_decided {
+        send(state, from, Datagram::Queued { number });
+    }
+    tell(state, turn);
+}
+
+/// Ends a permit.
+pub fn done(
+    state: &Arc<State>,
+    from: SocketAddr,
+    number: u64,
+    service: &str,
+    outcome: Outcome,
+    took_us: u64,
+) {
+    let now = clock::now();
+    let ticket = Ticket {
+        asker: from,
+        number,
+    };
+    let job = job(state, service);
+    let mut inner = job.inner.lock().unwrap();
+    if outcome == Outcome::NotHolder {
+        let endpoint: Option<Box<str>> = inner.desk.running_at(ticket).map(Into::into);
+        if let (Some(planner), Some(endpoint)) = (&mut inner.planner, endpoint) {
+            planner.doubt(&endpoint, now);
+        }
+    }
+    let took = Duration::from_micros(took_us);
+    inner.desk.end(ticket, outcome, took, now);
+    let turn = inner.turn(service, now);
+    drop(inner);
+    tell(state, turn);
+}
+
+/// Takes in an asker's list of open permits.
+pub fn open(state: &Arc<State>, from: SocketAddr, service: &str, numbers: &[u64]) {
+    let now = clock::now();
+    let job = job(state, service);
+    let mut inner = job.inner.lock().unwrap();
+    inner.desk.reconcile(from, numbers, now);
+    let turn = inner.turn(service, now);
+    drop(inner);
+    tell(state, turn);
+}
+
+/// Tells askers what was decided.
+pub fn tell(state: &Arc<State>, turn: Turn) {
+    for (ticket, endpoint) in turn.starts {
+        let number = ticket.number;
+        send(state, ticket.asker, Datagram::Go { number, endpoint });
+    }
+    for (ticket, refusal) in turn.refusals {
+        send(state, ticket.asker, no(ticket.number, refusal));
+    }
+}
+
+fn no(number: u64, refusal: Refusal) -> Datagram {
+    Datagram::No {
+        number,
+        reason: refusal.reason,
+        retry_ms: refusal.retry_after.as_millis() as u32,
+    }
+}
+
+/// Looks at the waiting requests of all jobs for as long as the process runs.
+pub async fn run(state: Arc<State>) {
+    let mut ticks: u64 = 0;
+    loop {
+        sleep(TICK).await;
+        ticks += 1;
+        let jobs: Vec<Arc<Job>> = state.jobs.lock().unwrap().clone();
+        let now = clock::now();
+        let view = state.view();
+        for job in jobs {
+            let mut inner = job.inner.lock().unwrap();
+            let is_sweep = ticks.is_multiple_of(TICKS_PER_SWEEP);
+            if is_sweep {
+                inner.set_view(&job.service, &view, now);
+                inner.desk.sweep(now);
+            }
+            if inner.desk.waiting() == 0 && !is_sweep {
+                continue;
+            }
+            let turn = inner.turn(&job.service, now);
+            drop(inner);
+            tell(&state, turn);
+        }
+    }
+}
+
+/// Work of a class takes about the same time.
+pub fn class(repeat: crate::core::manifest::Repeat, rank: u8, goal_ms: u64) -> u32 {
+    let text = [repeat as u64, u64::from(rank), goal_ms];
+    let bytes: Vec<u8> = text.iter().flat_map(|part| part.to_le_bytes()).collect();
+    xxhash_rust::xxh3::xxh3_64(&bytes) as u32
+}
+
+/// Names of refusals in logs and metrics.
+pub fn reason_name(reason: permit::Reason) -> &'static str {
+    match reason {
+        permit::Reason::Full => "full",
+        permit::Reason::Waited => "waited",
+        permit::Reason::Budget => "budget",
+        permit::Reason::NoEndpoint => "no_endpoint",
+        permit::Reason::NoOwner => "no_owner",
+    }
+}
--- /dev/null
+++ b/src/router/planner.rs
@@ -0,0 +1,531 @@
+//! Planning the owners of keys, on the VM that holds the claim.
+//!
+//! The decisions are [`holding::Planner`]'s. This module takes the claim when
+//! its holder is lost, writes tables, sends grants and releases, and reports
+//! what came of them.
+
+use crate::{
+    core::{
+        holding::{
+            self,
+            Answer,
+            Claim,
+            Grant,
+            Granted,
+            Planner,
+            Release,
+            Step,
+            Table, //
+        },
+        mirror::{
+            Kind,
+            Object,
+            Value, //
+        },
+        roster::Endpoint,
+        time::Instant,
+    },
+    edge::{
+        lease::{
+            Channel,
+            Line, //
+        },
+        objects::{
+            Error,
+            Write, //
+        },
+    },
+    kernel::{
+        clock,
+        runtime::sleep, //
+    },
+    router::{
+        asks,
+        desk::{
+            self,
+            Job, //
+        },
+        state::{
+            State,
+            View,
+            STORE_LOST, //
+        },
+    },
+};
+use std::{
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+/// How often a planner looks at its work.
+const TICK: Duration = Duration::from_millis(25);
+
+/// How often other VMs look whether a planner is needed.
+const IDLE_TICK: Duration = Duration::from_millis(60);
+
+/// How often the heat is worked out anew.
+const HEAT_PERIOD: Duration = Duration::from_millis(250);
+
+/// How long the holder of the claim must seem lost before another takes it.
+const LOST_FOR: Duration = Duration::from_millis(120);
+
+/// Gap between two ticks that shows that this VM stood still.
+const STANDSTILL: Duration = Duration::from_millis(700);
+
+/// Pause after a failed write of the table.
+const WRITE_PAUSE: Duration = Duration::from_millis(200);
+
+/// How long a release may take: longer than the longest work.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Age of the last confirmation at which the claim is read anew.
+const CONFIRM_AGE: Duration = Duration::from_millis(6_000);
+
+type Channels = Arc<Mutex<Vec<(Box<str>, Arc<Channel>)>>>;
+
+/// Watches over the keyed services for as long as the process runs.
+pub async fn run(state: Arc<State>) {
+    let mut running: Vec<Box<str>> = Vec::new();
+    loop {
+        sleep(IDLE_TICK).await;
+        let view = state.view();
+        let Some(manifest) = &view.manifest else {
+            continue;
+        };
+        for service in manifest.services.iter().filter(|service| service.is_keyed) {
+            if !running.contains(&service.name) {
+                running.push(service.name.clone());
+                let task = plan(Arc::clone(&state), service.name.clone());
+                state.context.detach(task);
+            }
+        }
+    }
+}
+
+/// Takes the claim of a service whenever it is needed, and plans while it holds it.
+async fn plan(state: Arc<State>, service: Box<str>) {
+    let mut lost_since: Option<Instant> = None;
+    loop {
+        sleep(IDLE_TICK).await;
+        let view = state.view();
+        let is_needed = !state.is_leaving() && is_next(&state, &view, &service);
+        if !is_needed {
+            lost_since = None;
+            continue;
+        }
+        let now = clock::now();
+        let since = *lost_since.get_or_insert(now);
+        let is_first = view.table(&service).is_none();
+        if now.since(since) < LOST_FOR && !is_first {
+            continue;
+        }
+        if let Some(planner) = take_claim(&state, &view, &service).await {
+            serve(&state, &service, planner).await;
+        }
+        lost_since = None;
+    }
+}
+
+/// Tells whether this VM should take the claim.
+fn is_next(state: &State, view: &View, service: &str) -> bool {
+    let ranked = asks::ranked(state, view, service);
+    let own = &state.settings.name;
+    let Some((_, table)) = view.table(service) else {
+        return ranked.first().is_some_and(|first| first.name == *own);
+    };
+    let claim = &table.claim;
+    let holder = view.members.iter().find(|member| member.name == claim.node);
+    let is_held = holder.is_some_and(|holder| holder.run == claim.run && state.is_usable(holder));
+    let is_own_earlier = claim.node == *own && claim.run != state.run;
+    if is_held && !is_own_earlier {
+        return false;
+    }
+    let mut others = ranked.iter().filter(|member| member.name != claim.node || member.run != claim.run);
+    others.next().is_some_and(|first| first.name == *own)
+}
+
+/// Writes this VM's claim into the table.
+async fn take_claim(state: &Arc<State>, view: &View, service: &str) -> Option<Planner> {
+    let claim = Claim {
+        node: state.settings.name.clone(),
+        run: state.run,
+    };
+    let old = view.table(service);
+    let table = Table::claimed(old.map(|(_, table)| &**table), service, claim);
+    let foreign = match old {
+        None => Duration::ZERO,
+        Some((_, old)) => {
+            let members = &view.members;
+            let is_gone = members.iter().any(|member| {
+                member.name == old.claim.node && member.run > old.claim.run
+            });
+            if is_gone {
+                Duration::ZERO
+            } else {
+                holding::CLAIM_TERM
+            }
+        }
+    };
+    let sent = clock::now();
+    match write(state, &table, old.map(|(revision, _)| *revision)).await {
+        Ok(revision) => {
+            log::info!(
+                "event=claim_taken service={service} revision={revision} fence={} foreign_ms={}",
+                table.last_fence,
+                foreign.as_millis()
+            );
+            let hold_max = state.settings.bounds.hold_max;
+            let mut planner = Planner::open(table, revision, foreign, hold_max, clock::now());
+            planner.confirm(sent);
+            Some(planner)
+        }
+        Err(error) => {
+            log::info!("event=claim_not_taken service={service} why=\"{error}\"");
+            sleep(WRITE_PAUSE).await;
+            None
+        }
+    }
+}
+
+/// Writes a table; a lost answer is settled by writing again under the same revision.
+async fn write(state: &Arc<State>, table: &Table, revision: Option<u64>) -> Result<u64, Error> {
+    let value = Value::Table(Arc::new(table.clone()));
+    let mut is_unsure = false;
+    for _ in 0..4 {
+        let store = state.store();
+        let put = (store.put)(Write {
+            kind: Kind::Table,
+            name: table.service.clone(),
+            value: value.clone(),
+            revision,
+        });
+        let written = match put.await {
+            Ok(revision) => revision,
+            Err(Error::Unknown) => {
+                is_unsure = true;
+                continue;
+            }
+            Err(Error::Conflict(Some(object))) => {
+                merge(state, &object);
+                if object.value.as_ref() == Some(&value) {
+                    object.revision
+                } else {
+                    return Err(Error::Conflict(Some(object)));
+                }
+            }
+            Err(error) if is_unsure => {
+                log::info!("event=write_unsure service={} why=\"{error}\"", table.service);
+                return Err(Error::Unknown);
+            }
+            Err(error) => return Err(error),
+        };
+        merge(
+            state,
+            &Object {
+                kind: Kind::Table,
+                name: table.service.clone(),
+                revision: written,
+                value: Some(value),
+            },
+        );
+        return Ok(written);
+    }
+    Err(Error::Unknown)
+}
+
+fn merge(state: &State, object: &Object) {
+    state.merge(|mirror| mirror.merge(object.clone()));
+}
+
+/// Plans until the claim is lost.
+async fn serve(state: &Arc<State>, service: &str, planner: Planner) {
+    let job = desk::job(state, service);
+    job.inner.lock().unwrap().planner = Some(planner);
+    let channels: Channels = Arc::default();
+    let mut last_tick = clock::now();
+    let mut last_heat = clock::now();
+    let mut is_reading = clock::now();
+    loop {
+        let now = clock::now();
+        if now.since(last_tick) > STANDSTILL {
+            log::warn!(
+                "event=standstill service={service} ms={}",
+                now.since(last_tick).as_millis()
+            );
+            job.inner.lock().unwrap().planner.as_mut().map(Planner::unconfirm);
+        }
+        last_tick = now;
+        if is_lost(state, service, &job) {
+            break;
+        }
+        confirm(state, service, &job, &mut is_reading).await;
+        let steps = tick(state, service, &job, &mut last_heat);
+        for step in steps {
+            start(state, &job, &channels, step);
+        }
+        sleep(TICK).await;
+    }
+    let planner = job.inner.lock().unwrap().planner.take();
+    let revision = planner.map_or(0, |planner| planner.revision());
+    log::info!("event=claim_lost service={service} revision={revision}");
+}
+
+/// Tells whether another planner has the claim, or should take it.
+fn is_lost(state: &State, service: &str, job: &Job) -> bool {
+    let view = state.view();
+    let Some((revision, table)) = view.table(service) else {
+        return false;
+    };
+    let is_own = table.claim.node == state.settings.name && table.claim.run == state.run;
+    let inner = job.inner.lock().unwrap();
+    let known = inner.planner.as_ref().map_or(0, Planner::revision);
+    !is_own && *revision > known
+}
+
+/// Confirms the claim from what this VM itself read of the store.
+async fn confirm(state: &Arc<State>, service: &str, job: &Job, last_read: &mut Instant) {
+    let now = clock::now();
+    let (is_confirmed, is_old) = {
+        let inner = job.inner.lock().unwrap();
+        let Some(planner) = &inner.planner else {
+            return;
+        };
+        (planner.is_confirmed(now), planner.confirmed_age(now) > CONFIRM_AGE)
+    };
+    if is_confirmed && !is_old {
+        return;
+    }
+    let pause = if is_confirmed { STORE_LOST } else { WRITE_PAUSE };
+    if now.since(*last_read) < pause {
+        return;
+    }
+    *last_read = now;
+    let state = Arc::clone(state);
+    let service: Box<str> = service.into();
+    let context = state.context.clone();
+    context.detach(async move {
+        let began = clock::now();
+        let store = state.store();
+        match (store.get)(Kind::Table, &service).await {
+            Ok(Some(object)) => {
+                merge(&state, &object);
+                let job = desk::job(&state, &service);
+                let mut inner = job.inner.lock().unwrap();
+                let Some(planner) = &mut inner.planner else {
+                    return;
+                };
+                let Some(Value::Table(table)) = &object.value else {
+                    return;
+                };
+                if table.claim == planner.table().claim {
+                    planner.confirm(began);
+                }
+            }
+            Ok(None) => log::error!("event=table_missing service={service}"),
+            Err(error) => log::warn!("event=claim_unconfirmed service={service} why=\"{error}\""),
+        }
+    });
+}
+
+fn tick(state: &Arc<State>, service: &str, job: &Arc<Job>, last_heat: &mut Instant) -> Vec<Step> {
+    let now = clock::now();
+    let view = state.view();
+    let mut inner = job.inner.lock().unwrap();
+    inner.set_view(service, &view, now);
+    let passed = now.since(*last_heat);
+    if passed >= HEAT_PERIOD {
+        inner.heat.pass(passed.as_secs_f64());
+        *last_heat = now;
+    }
+    let roster: Vec<Arc<Endpoint>> = view
+        .endpoints_of(service)
+        .map(|(endpoint, _)| Arc::clone(endpoint))
+        .collect();
+    let desk::Inner {
+        desk,
+        heat,
+        planner,
+        ..
+    } = &mut *inner;
+    let capacity = |id: &str| desk.capacity(id, now);
+    match planner {
+        Some(planner) => planner.tick(&roster, heat, &capacity, now),
+        None => Vec::new(),
+    }
+}
+
+/// Carries a step out and reports what came of it.
+fn start(state: &Arc<State>, job: &Arc<Job>, channels: &Channels, step: Step) {
+    let (task_state, job) = (Arc::clone(state), Arc::clone(job));
+    let channels = Arc::clone(channels);
+    state.context.detach(async move {
+        match step {
+            Step::Write(table) => write_step(&task_state, &job, table).await,
+            Step::Grant(endpoint, grants) => {
+                let results = grant(&task_state, &channels, &endpoint, grants).await;
+                report(&task_state, &job, |planner, now| {
+                    planner.granted(&endpoint.id, &results, now);
+                });
+            }
+            Step::Release(endpoint, order) => {
+                let answer = release(&task_state, &endpoint, order).await;
+                log::info!(
+                    "event=released service={} endpoint={} from={} to={} fence={} answer=\"{answer:?}\"",
+                    job.service,
+                    endpoint.id,
+                    order.from,
+                    order.to,
+                    order.fence
+                );
+                report(&task_state, &job, |planner, now| {
+                    planner.released(&endpoint.id, order, &answer, now);
+                });
+            }
+            Step::Probe(endpoint, order) => {
+                let answer = release(&task_state, &endpoint, order).await;
+                report(&task_state, &job, |planner, now| {
+                    planner.probed(&endpoint.id, &answer, now);
+                });
+            }
+        }
+    });
+}
+
+async fn write_step(state: &Arc<State>, job: &Arc<Job>, table: Table) {
+    let revision = {
+        let inner = job.inner.lock().unwrap();
+        let Some(planner) = &inner.planner else {
+            return;
+        };
+        planner.revision()
+    };
+    let sent = clock::now();
+    let written = write(state, &table, Some(revision)).await;
+    report(state, job, |planner, now| match written {
+        Ok(revision) => {
+            log::info!(
+                "event=table_written service={} revision={revision} fence={} ranges={} took_ms={}",
+                table.service,
+                table.last_fence,
+                table.ranges.len(),
+                now.since(sent).as_millis()
+            );
+            planner.wrote(table, revision, sent, now);
+        }
+        Err(error) => {
+            log::warn!(
+                "event=table_not_written service={} why=\"{error}\"",
+                table.service
+            );
+            if matches!(error, Error::Conflict(_)) {
+                planner.unconfirm();
+            }
+            planner.not_written(now.after(WRITE_PAUSE));
+        }
+    });
+}
+
+async fn release(state: &Arc<State>, endpoint: &Endpoint, order: Release) -> Answer {
+    metrics::counter!("rhubarbpick_orders_total", "kind" => "release").increment(1);
+    (state.lease.release)(endpoint, order, RELEASE_TIMEOUT).await
+}
+
+/// Sends grants one after the other, up to the first that fails.
+async fn grant(
+    state: &Arc<State>,
+    channels: &Channels,
+    endpoint: &Endpoint,
+    grants: Vec<Grant>,
+) -> Vec<Granted> {
+    let mut results = Vec::new();
+    let channel = match channel(state, channels, endpoint).await {
+        Ok(channel) => channel,
+        Err(answer) => {
+            let grant = grants.into_iter().next();
+            results.extend(grant.map(|grant| Granted {
+                grant,
+                sent: clock::now(),
+                answer,
+            }));
+            return results;
+        }
+    };
+    for grant in grants {
+        let sent = clock::now();
+        metrics::counter!("rhubarbpick_orders_total", "kind" => "grant").increment(1);
+        let answer = (channel.grant)(grant.clone()).await;
+        let is_done = matches!(answer, Answer::Done(_));
+        if !is_done {
+            log::info!(
+                "event=grant_failed endpoint={} from={} to={} fence={} answer=\"{answer:?}\"",
+                endpoint.id,
+                grant.from,
+                grant.to,
+                grant.fence
+            );
+            forget(channels, &endpoint.id);
+        }
+        results.push(Granted {
+            grant,
+            sent,
+            answer,
+        });
+        if !is_done {
+            break;
+        }
+    }
+    results
+}
+
+/// Returns the kept connection to an endpoint, or opens one.
+async fn channel(
+    state: &Arc<State>,
+    channels: &Channels,
+    endpoint: &Endpoint,
+) -> Result<Arc<Channel>, Answer> {
+    let known = {
+        let channels = channels.lock().unwrap();
+        let place = channels.binary_search_by(|(id, _)| id.cmp(&endpoint.id));
+        place.ok().map(|index| Arc::clone(&channels[index].1))
+    };
+    if let Some(channel) = known {
+        match (channel.line)() {
+            Line::Open => return Ok(channel),
+            Line::Closing => forget(channels, &endpoint.id),
+            Line::Ended => {
+                forget(channels, &endpoint.id);
+                return Err(Answer::Ended);
+            }
+        }
+    }
+    let channel = Arc::new((state.lease.open)(endpoint).await?);
+    let mut channels = channels.lock().unwrap();
+    let place = channels.binary_search_by(|(id, _)| id.cmp(&endpoint.id));
+    let entry = (endpoint.id.clone(), Arc::clone(&channel));
+    match place {
+        Ok(index) => channels[index] = entry,
+        Err(index) => channels.insert(index, entry),
+    }
+    Ok(channel)
+}
+
+fn forget(channels: &Channels, endpoint: &str) {
+    let mut channels = channels.lock().unwrap();
+    channels.retain(|(id, _)| **id != *endpoint);
+}
+
+/// Tells the planner what came of a step, then serves whoever waited for it.
+fn report(state: &Arc<State>, job: &Arc<Job>, tell: impl FnOnce(&mut Planner, Instant)) {
+    let now = clock::now();
+    let mut inner = job.inner.lock().unwrap();
+    let Some(planner) = &mut inner.planner else {
+        return;
+    };
+    tell(planner, now);
+    let turn = inner.turn(&job.service, now);
+    drop(inner);
+    desk::tell(state, turn);
+}
--- /dev/null
+++ b/src/router/request.rs
@@ -0,0 +1,466 @@
+//! Taking in callers' requests.
+//!
+//! A request is matched to a route and a service, waits for a permit, is sent
+//! to the endpoint that the permit names, and answered. What failed is tried
+//! again only if it certainly did not run or may run twice, and only within
+//! the route's attempts, the time left and the service's bound on repeats.
+
+use crate::{
+    core::{
+        manifest::{
+            Manifest,
+            Repeat,
+            Route, //
+        },
+        permit::{
+            Ask,
+            Outcome, //
+        },
+    },
+    kernel::http::Body,
+    router::{
+        asks,
+        attempt::{
+            self,
+            left,
+            Job,
+            Payload,
+            Prefixed,
+            Try, //
+        },
+        desk,
+        reply::Reply,
+        state::State, //
+    },
+};
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::{
+    body::{
+        Body as _,
+        Incoming, //
+    },
+    header::{
+        HeaderMap,
+        HeaderName,
+        HeaderValue,
+        CONNECTION,
+        CONTENT_LENGTH,
+        EXPECT,
+        HOST,
+        TRANSFER_ENCODING, //
+    },
+    http::request::Parts,
+    Request,
+    Response, //
+};
+use std::{
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+/// Time that a caller without a deadline is taken to wait.
+const DEFAULT_DEADLINE_MS: u64 = 30_000;
+
+/// Longest deadline that is believed.
+const DEADLINE_MAX_MS: u64 = 600_000;
+
+/// Bodies up to this length are kept, so that the request can be sent again, in bytes.
+const KEPT_BODY: usize = 1024 * 1024;
+
+/// Part of the goal that a request loses on its way from and to the caller.
+const CALLER_WAY: Duration = Duration::from_millis(16);
+
+/// Time by which a returning caller's deadline is shorter than a first one's.
+const RETURN_AFTER_MS: u64 = 40;
+
+/// Most tries of one request, whatever did not run.
+const TRIES_MAX: u32 = 5;
+
+/// Time that has to be left for another try.
+const TRY_MIN: Duration = Duration::from_millis(30);
+
+/// A successful request in so many is logged.
+const LOG_ONE_IN: u64 = 256;
+
+/// Answers a caller.
+pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let began = Instant::now();
+    let count = state.counts.requests.fetch_add(1, Ordering::Relaxed);
+    // The HTTP library drops a Content-Length beside chunks, so such a request
+    // cannot be told from one without; what follows it is not read.
+    let is_last = request.headers().contains_key(TRANSFER_ENCODING) || state.is_leaving();
+    let mut guard = Left {
+        state: Arc::clone(&state),
+        is_answered: false,
+    };
+    let mut response = match take(&state, request, began, count).await {
+        Ok(response) => {
+            state.counts.answered.fetch_add(1, Ordering::Relaxed);
+            response
+        }
+        Err(reply) => {
+            let counter = match reply {
+                Reply::NotRun(..) | Reply::NotConfigured => &state.counts.refused,
+                _ => &state.counts.failed,
+            };
+            counter.fetch_add(1, Ordering::Relaxed);
+            metrics::counter!("rhubarbpick_own_answers_total", "reason" => reply.name())
+                .increment(1);
+            reply.response()
+        }
+    };
+    guard.is_answered = true;
+    if is_last {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+/// Counts a caller that leaves before its answer.
+struct Left {
+    state: Arc<State>,
+    is_answered: bool,
+}
+
+impl Drop for Left {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.state.counts.left.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+async fn take(
+    state: &Arc<State>,
+    request: Request<Incoming>,
+    began: Instant,
+    count: u64,
+) -> Result<Response<Body>, Reply> {
+    let (mut parts, body) = request.into_parts();
+    let view = state.view();
+    let Some(manifest) = &view.manifest else {
+        return Err(Reply::NotConfigured);
+    };
+    let route = find(manifest, &parts)?;
+    let id = parts.headers.get(&state.fields.request_id).cloned();
+    let id = id.ok_or(Reply::Malformed)?;
+    let deadline_ms = number(&parts.headers, &state.fields.deadline)
+        .unwrap_or(DEFAULT_DEADLINE_MS)
+        .min(DEADLINE_MAX_MS);
+    let key = number(&parts.headers, &state.fields.key);
+    let length = number(&parts.headers, &CONTENT_LENGTH);
+    if length.is_some_and(|length| length > manifest.limits.body_bytes) {
+        return Err(Reply::TooLarge);
+    }
+    let part = state.deal(route, manifest.version);
+    let part = part.ok_or(Reply::NotRun("no_weight", TRY_MIN))?;
+    let service = &route.parts[part].service;
+    let is_keyed = view.is_keyed(service);
+    attempt::remove_hop_fields(&mut parts.headers);
+    parts.headers.remove(EXPECT);
+    let limit = Duration::from_millis(deadline_ms.min(route.timeout_ms));
+    let end = began + limit;
+    let payload = payload(body, end).await?;
+    let class = desk::class(route.repeat, route.rank, route.goal_ms);
+    let full_ms = state.full_deadline(class, deadline_ms);
+    let spent = Duration::from_millis(full_ms - deadline_ms);
+    let goal = Duration::from_millis(route.goal_ms).saturating_sub(spent + CALLER_WAY);
+    let work = Work {
+        route,
+        service,
+        id,
+        class,
+        key: key.filter(|_| is_keyed).map(|key| key as u16),
+        goal_end: began + goal,
+        end,
+        is_return: full_ms - deadline_ms >= RETURN_AFTER_MS,
+    };
+    let result = run(state, &work, &parts, payload).await;
+    note(state, &work, &result, began, count);
+    result.1
+}
+
+/// What is known of a request once it is matched to a service.
+struct Work<'a> {
+    route: &'a Route,
+    service: &'a str,
+    id: HeaderValue,
+    class: u32,
+    key: Option<u16>,
+    goal_end: Instant,
+    end: Instant,
+    is_return: bool,
+}
+
+/// What was done for a request, and its answer.
+struct Trail {
+    tries: u32,
+    endpoint: Box<str>,
+    last: &'static str,
+}
+
+async fn run(
+    state: &Arc<State>,
+    work: &Work<'_>,
+    parts: &Parts,
+    payload: Payload,
+) -> (Trail, Result<Response<Body>, Reply>) {
+    let mut trail = Trail {
+        tries: 0,
+        endpoint: "".into(),
+        last: "",
+    };
+    let answer = run_tries(state, work, parts, payload, &mut trail).await;
+    (trail, answer)
+}
+
+async fn run_tries(
+    state: &Arc<State>,
+    work: &Work<'_>,
+    parts: &Parts,
+    payload: Payload,
+    trail: &mut Trail,
+) -> Result<Response<Body>, Reply> {
+    let mut payload = Some(payload);
+    let mut avoid: Vec<Box<str>> = Vec::new();
+    let mut runs = 0;
+    let mut is_sent = false;
+    // What to say if no further try is made: the last failure that may have run.
+    let mut verdict: Option<Reply> = None;
+    let mut own_failure: Option<Response<Body>> = None;
+    let retry = |reason| Reply::NotRun(reason, TRY_MIN);
+    loop {
+        let Some(content) = payload.take() else {
+            return own_failure.ok_or(verdict.unwrap_or(Reply::Unknown("not_kept")));
+        };
+        let bytes = match &content {
+            Payload::Whole(bytes) => bytes.len() as u32,
+            Payload::Stream(_) => u32::MAX / 1024,
+        };
+        let ask = Ask {
+            class: work.class,
+            key: work.key,
+            rank: work.route.rank,
+            goal_us: left(work.goal_end).as_micros() as u64,
+            left_us: left(work.end).as_micros() as u64,
+            is_repeat: is_sent,
+            is_return: work.is_return,
+            bytes,
+            zone: state.settings.zone.clone(),
+            avoid: avoid.clone(),
+        };
+        let permit = match asks::ask(state, work.service, ask).await {
+            asks::Answer::Go(permit) => permit,
+            asks::Answer::No(reason, after) => {
+                trail.last = desk::reason_name(reason);
+                if let Some(response) = own_failure {
+                    return Ok(response);
+                }
+                return Err(verdict.unwrap_or(Reply::NotRun(trail.last, after)));
+            }
+        };
+        trail.endpoint = permit.endpoint.clone();
+        let view = state.view();
+        let Some(endpoint) = view.endpoint(&permit.endpoint) else {
+            // The dispatcher knows an endpoint that is not known here yet, or no more.
+            avoid.push(permit.endpoint.clone());
+            permit.end(Outcome::Unreachable);
+            trail.tries += 1;
+            if trail.tries >= TRIES_MAX {
+                return Err(verdict.unwrap_or(retry("unknown_endpoint")));
+            }
+            payload = Some(content);
+            continue;
+        };
+        let kept = match &content {
+            Payload::Whole(bytes) => Some(Payload::Whole(bytes.clone())),
+            Payload::Stream(_) => None,
+        };
+        let job = Job {
+            parts,
+            id: &work.id,
+            repeat: work.route.repeat,
+            service: work.service,
+            end: work.end,
+        };
+        trail.tries += 1;
+        let tried = attempt::send(state, &job, endpoint, content).await;
+        let may_again = trail.tries < TRIES_MAX && left(work.end) > TRY_MIN;
+        match tried {
+            Try::Answered(response) => {
+                let is_failure = response.status().is_server_error();
+                let outcome = if is_failure {
+                    Outcome::Failed
+                } else {
+                    Outcome::Answered
+                };
+                permit.end(outcome);
+                runs += 1;
+                trail.last = "answered";
+                let is_worth_another = is_failure
+                    && work.route.repeat.is_allowed()
+                    && runs < work.route.attempts
+                    && may_again;
+                if !is_worth_another {
+                    return Ok(response);
+                }
+                own_failure = Some(response);
+                avoid.push(endpoint.id.clone());
+                payload = kept;
+                is_sent = true;
+            }
+            Try::Shed => {
+                permit.end(Outcome::Shed);
+                trail.last = "shed";
+                if !may_again || kept.is_none() {
+                    return Err(verdict.unwrap_or(retry("shed")));
+                }
+                avoid.push(endpoint.id.clone());
+                payload = kept;
+                is_sent = true;
+            }
+            Try::NotHolder => {
+                permit.end(Outcome::NotHolder);
+                trail.last = "not_holder";
+                if !may_again || kept.is_none() {
+                    return Err(verdict.unwrap_or(retry("not_holder")));
+                }
+                payload = kept;
+                is_sent = true;
+            }
+            Try::Unsent(why, back) => {
+                permit.end(Outcome::Unreachable);
+                trail.last = why;
+                if !may_again {
+                    return Err(verdict.unwrap_or(retry(why)));
+                }
+                avoid.push(endpoint.id.clone());
+                payload = Some(back);
+            }
+            Try::Broken(why) => {
+                permit.end(Outcome::Failed);
+                runs += 1;
+                trail.last = why;
+                verdict = Some(Reply::Unknown(why));
+                let is_allowed = work.route.repeat.is_allowed() && runs < work.route.attempts;
+                if !is_allowed || !may_again {
+                    return Err(Reply::Unknown(why));
+                }
+                avoid.push(endpoint.id.clone());
+                payload = kept;
+                is_sent = true;
+            }
+            Try::Late => {
+                permit.end(Outcome::Failed);
+                trail.last = "late";
+                return Err(Reply::Late);
+            }
+        }
+    }
+}
+
+fn find<'a>(manifest: &'a Manifest, parts: &Parts) -> Result<&'a Route, Reply> {
+    let host = match parts.uri.authority() {
+        Some(authority) => authority.as_str(),
+        None => {
+            let host = parts.headers.get(HOST);
+            host.and_then(|host| host.to_str().ok())
+                .ok_or(Reply::Malformed)?
+        }
+    };
+    let route = manifest.route(host, parts.uri.path());
+    route.ok_or(Reply::NoRoute)
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// Reads a request body, whole if it is not too long to be kept.
+async fn payload(body: Incoming, end: Instant) -> Result<Payload, Reply> {
+    if body.is_end_stream() {
+        return Ok(Payload::Whole(bytes::Bytes::new()));
+    }
+    let is_long = body.size_hint().lower() > KEPT_BODY as u64;
+    if is_long {
+        return Ok(Payload::Stream(body.map_err(Into::into).boxed_unsync()));
+    }
+    let mut body = body;
+    let mut read = BytesMut::new();
+    loop {
+        let frame = crate::kernel::runtime::timeout(left(end), body.frame()).await;
+        let frame = match frame {
+            None => return Err(Reply::NotRun("body_late", TRY_MIN)),
+            Some(None) => return Ok(Payload::Whole(read.freeze())),
+            Some(Some(Err(_))) => return Err(Reply::Malformed),
+            Some(Some(Ok(frame))) => frame,
+        };
+        if let Ok(data) = frame.into_data() {
+            read.extend_from_slice(&data);
+        }
+        if read.len() > KEPT_BODY {
+            let body = Prefixed {
+                prefix: Some(read.freeze()),
+                rest: body.map_err(Into::into).boxed_unsync(),
+            };
+            return Ok(Payload::Stream(body.boxed_unsync()));
+        }
+    }
+}
+
+/// Logs what was decided: every failure, and a sample of the successes.
+fn note(
+    state: &State,
+    work: &Work<'_>,
+    (trail, answer): &(Trail, Result<Response<Body>, Reply>),
+    began: Instant,
+    count: u64,
+) {
+    let took = began.elapsed();
+    let (status, reason) = match answer {
+        Ok(response) => (response.status(), "answered"),
+        Err(reply) => (reply.status(), reply.name()),
+    };
+    metrics::histogram!(
+        "rhubarbpick_request_seconds",
+        "service" => work.service.to_owned(),
+        "outcome" => reason
+    )
+    .record(took.as_secs_f64());
+    if status.is_success() && !count.is_multiple_of(LOG_ONE_IN) {
+        return;
+    }
+    let view = state.view();
+    let version = view.manifest.as_ref().map_or(0, |manifest| manifest.version);
+    let table = view.table(work.service).map_or(0, |(revision, _)| *revision);
+    let kind = match work.route.repeat {
+        Repeat::Idempotent => "idempotent",
+        Repeat::Once => "once",
+        Repeat::Upload => "upload",
+    };
+    log::info!(
+        "event=request id={} route={} service={} kind={kind} key={} status={} reason={reason} \
+         last={} tries={} endpoint={} took_ms={} left_ms={} returned={} manifest={version} \
+         table={table} age_ms={}",
+        work.id.to_str().unwrap_or("unreadable"),
+        work.route.name,
+        work.service,
+        work.key.map_or(-1, i64::from),
+        status.as_u16(),
+        trail.last,
+        trail.tries,
+        trail.endpoint,
+        took.as_millis(),
+        left(work.end).as_millis(),
+        work.is_return,
+        state.age().as_millis(),
+    );
+}
--- /dev/null
+++ b/src/router/settings.rs
@@ -0,0 +1,88 @@
+//! What a router process is told at its start.
+
+use crate::{
+    core::retry::Bound,
+    kernel::settings::Outside, //
+};
+use std::{
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    time::Duration,
+};
+
+/// Addresses that the process listens on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listen {
+    /// Callers' requests.
+    pub callers: SocketAddr,
+    /// Readiness and metrics.
+    pub ready: SocketAddr,
+    /// Peers' requests for the state.
+    pub peers: SocketAddr,
+    /// Peers' datagrams.
+    pub datagrams: SocketAddr,
+}
+
+/// Bounds that the platform's users set.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Time from the signal to stop until the process is killed.
+    pub grace: Duration,
+    /// Time in which a leaving endpoint must see its last request.
+    pub drain: Duration,
+    /// Time in which a configuration must be in force.
+    pub config: Duration,
+    /// Longest time for which keys may be granted.
+    pub hold_max: Duration,
+    /// Bound on repeats.
+    pub retry: Bound,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            grace: Duration::from_secs(6),
+            drain: Duration::from_secs(2),
+            config: Duration::from_secs(2),
+            hold_max: Duration::from_secs(10),
+            retry: Bound {
+                share_millis: 200,
+                slack: 0,
+                window: Duration::from_secs(10),
+            },
+        }
+    }
+}
+
+/// Settings of one process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the VM, unique among all.
+    pub name: Box<str>,
+    /// Availability zone.
+    pub zone: Box<str>,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Path of the readiness check.
+    pub ready_path: Box<str>,
+    /// The platform's store.
+    pub store: Outside,
+    /// Dialect of grants.
+    pub leases: Box<str>,
+    /// Dialect of header fields.
+    pub fields: Box<str>,
+    /// Address from which the process speaks to others.
+    pub source: Option<IpAddr>,
+    /// Processor share, in thousandths of a core.
+    pub cpu_millis: u32,
+    /// Memory that the process may use.
+    pub memory_bytes: u64,
+    /// File descriptors that the process may use.
+    pub descriptors: u64,
+    /// Bounds.
+    pub bounds: Bounds,
+    /// Level of the log.
+    pub log: Box<str>,
+}
--- /dev/null
+++ b/src/router/sync.rs
@@ -0,0 +1,272 @@
+//! Keeping this VM's copy of the store.
+//!
+//! A few VMs, the relays, watch the store; the others ask a relay, which
+//! answers as soon as something changes. Every VM knows how old its copy is.
+//! When no relay answers or all of them are cut off from the store, a VM
+//! reads the store itself, after a pause of random length.
+
+use crate::{
+    core::{
+        mirror::{
+            Kind,
+            KINDS, //
+        },
+        roster::Member,
+        time::Instant,
+    },
+    edge::objects::{
+        Age,
+        Error,
+        Page, //
+    },
+    kernel::{
+        clock,
+        runtime::sleep, //
+    },
+    router::{
+        datagram::send,
+        peer,
+        state::{
+            State,
+            STORE_LOST, //
+        },
+        wire::{
+            Beat,
+            Datagram, //
+        },
+    },
+};
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+/// How long a watch of the configuration waits; its return shows that the store answers.
+const MANIFEST_WAIT: Duration = Duration::from_millis(1_000);
+
+/// How long the other watches wait.
+const WATCH_WAIT: Duration = Duration::from_millis(5_000);
+
+/// Pause after the store turned a call away or did not answer, at least.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// How long after an outage a missing endpoint may still come back: the platform's bound.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// An error that lasts this long is an outage.
+const OUTAGE: Duration = Duration::from_millis(400);
+
+/// How often a VM checks whether it reads the store.
+const ROLE_PERIOD: Duration = Duration::from_millis(100);
+
+/// How often a VM shows that it is alive.
+const BEAT_PERIOD: Duration = Duration::from_millis(200);
+
+/// Age of the copy at which a VM reads the store itself.
+const READ_AGE: Duration = Duration::from_millis(1_300);
+
+/// Shortest pause between two such reads.
+const READ_PAUSE: Duration = Duration::from_millis(900);
+
+/// Silence after which a member's entry is removed.
+const FORGET_AFTER: Duration = Duration::from_secs(12);
+
+/// Runs everything that keeps the copy.
+pub fn spawn(state: &Arc<State>) {
+    for kind in KINDS {
+        state.context.detach(watch(Arc::clone(state), kind));
+    }
+    state.context.detach(beat(Arc::clone(state)));
+    state.context.detach(follow(Arc::clone(state)));
+}
+
+/// Draws a span between one and two times `span`, different on each VM and each time.
+fn jitter(span: Duration) -> Duration {
+    span + span.mul_f64(rand::random::<f64>())
+}
+
+/// Watches a kind of objects whenever this VM is a relay.
+async fn watch(state: Arc<State>, kind: Kind) {
+    let mut as_of: Option<u64> = None;
+    let mut failing: Option<Instant> = None;
+    let mut grace_end: Option<Instant> = None;
+    loop {
+        if !state.reads_store() {
+            // A copy that was kept by others may be ahead: lists merge by revision.
+            as_of = None;
+            sleep(ROLE_PERIOD).await;
+            continue;
+        }
+        let began = clock::now();
+        let is_grace = grace_end.is_some_and(|end| began < end);
+        if grace_end.is_some() && !is_grace {
+            // What is missing now is gone for good.
+            grace_end = None;
+            as_of = None;
+        }
+        let result = match as_of {
+            None => list(&state, kind, !is_grace).await,
+            Some(after) => {
+                let wait = match (kind, grace_end) {
+                    (Kind::Manifest, _) => MANIFEST_WAIT,
+                    (_, Some(end)) => end.since(began).min(WATCH_WAIT),
+                    _ => WATCH_WAIT,
+                };
+                follow_changes(&state, kind, after, wait, !is_grace).await
+            }
+        };
+        match result {
+            Ok(revision) => {
+                as_of = Some(revision);
+                if kind == Kind::Manifest {
+                    state.set_own_fresh(began);
+                }
+                let Some(since) = failing.take() else {
+                    continue;
+                };
+                let lost = clock::now().since(since);
+                log::info!("event=store_back kind={kind:?} after_ms={}", lost.as_millis());
+                if lost > OUTAGE && kind == Kind::Endpoint {
+                    grace_end = Some(clock::now().after(LAPSE_GRACE));
+                }
+            }
+            Err(Error::HistoryGone) => {
+                log::info!("event=history_gone kind={kind:?}");
+                as_of = None;
+            }
+            Err(error) => {
+                if failing.is_none() {
+                    failing = Some(began);
+                    log::warn!("event=store_lost kind={kind:?} why=\"{error}\"");
+                }
+                sleep(jitter(RETRY_PAUSE)).await;
+            }
+        }
+    }
+}
+
+async fn list(state: &Arc<State>, kind: Kind, has_removals: bool) -> Result<u64, Error> {
+    let store = state.store();
+    let page = (store.list)(kind, Age::Fresh).await?;
+    let as_of = page.as_of;
+    state.merge(|mirror| mirror.merge_list(kind, page.objects, as_of, has_removals));
+    Ok(as_of)
+}
+
+async fn follow_changes(
+    state: &Arc<State>,
+    kind: Kind,
+    after: u64,
+    wait: Duration,
+    has_removals: bool,
+) -> Result<u64, Error> {
+    let store = state.store();
+    let page: Page = (store.watch)(kind, after, wait).await?;
+    state.merge(|mirror| {
+        let mut is_changed = false;
+        for object in page.objects {
+            if object.value.is_some() || has_removals {
+                is_changed |= mirror.merge(object);
+            }
+        }
+        is_changed
+    });
+    Ok(page.as_of)
+}
+
+/// Shows the relays that this VM is alive, and decides whether it is one.
+async fn beat(state: Arc<State>) {
+    let started = clock::now();
+    let mut was_relay = false;
+    loop {
+        let view = state.view();
+        let relays = state.relays(&view);
+        let is_own = |member: &Member| *member.name == *state.settings.name;
+        let is_relay = relays.iter().any(is_own) || view.members.is_empty();
+        let plans = peer::plans(&state);
+        state.set_reads_store(is_relay || plans);
+        if is_relay != was_relay {
+            log::info!("event=relay is_relay={is_relay}");
+            was_relay = is_relay;
+        }
+        let beat = Beat {
+            name: state.settings.name.clone(),
+            run: state.run,
+            is_leaving: state.is_leaving(),
+            has_store: !state.reads_store() || state.own_age() < STORE_LOST,
+        };
+        for relay in relays.iter().filter(|member| !is_own(member)) {
+            send(&state, relay.datagrams, Datagram::Beat(beat.clone()));
+        }
+        if state.find_absent(started) {
+            state.changed.notify(usize::MAX);
+        }
+        if is_relay {
+            // A relay takes its own word; it hears every member.
+            state.set_told(state.absent());
+        }
+        sleep(BEAT_PERIOD).await;
+    }
+}
+
+/// Follows a relay, or reads the store when none is of use.
+async fn follow(state: Arc<State>) {
+    let mut copies: Vec<peer::Copy> = Vec::new();
+    let mut last_read = Instant::default();
+    let mut patience = jitter(Duration::ZERO);
+    loop {
+        if state.reads_store() && state.own_age() < STORE_LOST {
+            sleep(ROLE_PERIOD).await;
+            continue;
+        }
+        let view = state.view();
+        let mut relays = state.relays(&view);
+        relays.retain(|member| *member.name != *state.settings.name);
+        relays.sort_by_key(|member| {
+            let own = xxhash_rust::xxh3::xxh3_64(state.settings.name.as_bytes());
+            let turn = xxhash_rust::xxh3::xxh3_64_with_seed(member.name.as_bytes(), own);
+            (member.zone != state.settings.zone, turn)
+        });
+        let is_followed = match relays.first() {
+            None => false,
+            Some(relay) => peer::follow(&state, relay, &mut copies).await,
+        };
+        if state.age() < READ_AGE + patience {
+            if !is_followed {
+                sleep(ROLE_PERIOD).await;
+            }
+            continue;
+        }
+        if let (true, Some(relay)) = (is_followed, relays.first()) {
+            // It answers, but is itself cut off.
+            state.suspect(relay.datagrams);
+        }
+        if clock::now().since(last_read) < READ_PAUSE + patience {
+            sleep(ROLE_PERIOD).await;
+            continue;
+        }
+        last_read = clock::now();
+        patience = jitter(Duration::from_millis(100)).mul_f64(rand::random::<f64>() * 4.0);
+        read(&state).await;
+    }
+}
+
+/// Reads the whole store once.
+async fn read(state: &Arc<State>) {
+    let began = clock::now();
+    log::info!("event=store_read age_ms={}", state.age().as_millis());
+    for kind in [Kind::Manifest, Kind::Endpoint, Kind::Member, Kind::Table] {
+        // Whether an entry lapsed in an outage is for the relays to say.
+        let has_removals = kind != Kind::Endpoint;
+        if let Err(error) = list(state, kind, has_removals).await {
+            log::warn!("event=store_lost kind={kind:?} why=\"{error}\"");
+            return;
+        }
+    }
+    state.set_fresh(began);
+}
+
+/// Span after which a silent member is forgotten.
+pub fn forget_after() -> Duration {
+    FORGET_AFTER
+}
