Keep relays and planners steady, and prefer open connections

Cause: listeners were dropped with their handles, so no peer answered; a fresh relay counted as cut off; the age of a copy was counted from the start of a waiting watch.

--- a/src/core/holding.rs
+++ b/src/core/holding.rs
@@ -73,6 +73,9 @@
 /// How long moved keys stay where they are.
 const MOVE_REST: Duration = Duration::from_millis(700);
 
+/// Time without a new endpoint after which the keys are cut for the first time.
+const ROSTER_REST: Duration = Duration::from_millis(500);
+
 /// Capacity assumed of an endpoint that has not served yet, in requests a second.
 const UNKNOWN_CAPACITY: f64 = 20.0;
 
@@ -257,7 +260,6 @@
     next: Instant,
     silent_since: Option<Instant>,
     needs_fence: bool,
-    needs_proof: bool,
 }
 
 impl Seat {
@@ -308,6 +310,8 @@
     is_writing: bool,
     retry_write: Instant,
     next_round: Instant,
+    /// When an endpoint was last seen for the first time.
+    joined: Instant,
     moves: u64,
 }
 
@@ -350,6 +354,7 @@
             is_writing: false,
             retry_write: now,
             next_round: now,
+            joined: now,
             moves: 0,
             revision,
             table,
@@ -497,18 +502,18 @@
                     }
                     seat.endpoint = Arc::clone(endpoint);
                 }
-                Err(index) => self.seats.insert(
-                    index,
-                    Seat {
+                Err(index) => {
+                    self.joined = now;
+                    let seat = Seat {
                         endpoint: Arc::clone(endpoint),
                         is_listed: true,
                         is_busy: false,
                         next: now,
                         silent_since: None,
                         needs_fence: false,
-                        needs_proof: false,
-                    },
-                ),
+                    };
+                    self.seats.insert(index, seat);
+                }
             }
         }
         let pieces = &self.pieces;
@@ -551,6 +556,9 @@
         self.edits.clear();
         let servers = self.servers(capacity, now);
         if self.pieces.iter().all(|piece| piece.owner.is_none()) {
+            if now.since(self.joined) < ROSTER_REST {
+                return;
+            }
             for slice in spread::cut(&servers) {
                 let owner = self.seats[slice.server].owner();
                 self.push(slice.from, slice.to, Some(owner), None);
@@ -573,7 +581,6 @@
             is_target: seat.is_listed
                 && !seat.endpoint.is_leaving
                 && seat.silent_since.is_none()
-                && !seat.needs_proof
                 && !seat.is_silent(now),
         });
         servers.collect()
@@ -787,7 +794,7 @@
                 piece.owner.as_ref() == Some(&owner) && !matches!(piece.phase, Phase::Settling { .. })
             };
             let own = self.pieces.iter().filter(is_granted);
-            if seat.is_silent(now) || seat.needs_fence || seat.needs_proof {
+            if seat.is_silent(now) || seat.needs_fence {
                 let has_keys = own.count() > 0;
                 let order = Release {
                     from: 0,
@@ -949,7 +956,6 @@
         seat.is_busy = false;
         if matches!(answer, Answer::Done(_)) {
             seat.silent_since = None;
-            seat.needs_proof = false;
             seat.next = now;
         } else {
             seat.silent_since.get_or_insert(now);
--- a/src/core/permit.rs
+++ b/src/core/permit.rs
@@ -65,7 +65,7 @@
     (Duration::from_millis(250), Duration::from_millis(2000));
 
 /// Time by which a request from another zone has to be better served, in microseconds.
-const ZONE_COST_US: f64 = 4_000.0;
+const ZONE_COST_US: f64 = 10_000.0;
 
 /// The same for each byte of its body: a kilobyte weighs four milliseconds.
 const ZONE_COST_US_PER_BYTE: f64 = 4.0;
@@ -77,19 +77,22 @@
 const OWN_ZONE_WAIT: Duration = Duration::from_millis(60);
 
 /// What an open connection is worth, in microseconds.
-const WARM_BONUS_US: f64 = 15_000.0;
+const WARM_BONUS_US: f64 = 40_000.0;
 
 /// How long a connection is taken to stay open.
-const WARM_FOR: Duration = Duration::from_millis(3_500);
+const WARM_FOR: Duration = Duration::from_millis(3_800);
 
 /// Connections that are remembered for each endpoint.
 const WARM_MAX: usize = 24;
 
-/// An endpoint without a request for this long is tried before others.
-const IDLE_LIMIT: Duration = Duration::from_millis(2_000);
+/// An endpoint that got no request for so long after it joined is tried before others.
+const NEW_LIMIT: Duration = Duration::from_millis(500);
 
 /// What that is worth, in microseconds.
-const IDLE_BONUS_US: f64 = 40_000.0;
+const NEW_BONUS_US: f64 = 200_000.0;
+
+/// Span in which the slowness of an endpoint without requests is forgotten, in microseconds.
+const FORGET_SPAN_US: f64 = 5_000_000.0;
 
 /// Part of the goal that is kept for the way to the caller.
 const GOAL_MARGIN: Duration = Duration::from_millis(10);
@@ -869,7 +872,10 @@
 
     /// How much longer than the mean a request takes here.
     fn pace(&self, now: Instant) -> f64 {
-        self.slowness * self.cold_factor(now)
+        let unused = now.since(self.used_at).as_micros() as f64;
+        let left = (-unused / FORGET_SPAN_US).exp();
+        let slowness = 1.0 + (self.slowness - 1.0) * left;
+        slowness * self.cold_factor(now)
     }
 
     fn offer(&mut self, work: f64, now: Instant) -> f64 {
@@ -877,7 +883,9 @@
     }
 
     fn cost(&self, ask: &Ask, asker: SocketAddr, mean: f64, now: Instant) -> f64 {
-        let mut cost = mean * self.pace(now) * (1.0 + 3.0 * self.failures);
+        let expected = mean * self.pace(now);
+        let hurry = expected / (ask.goal_us as f64).max(expected);
+        let mut cost = expected * (1.0 + hurry) * (1.0 + 3.0 * self.failures);
         if self.zone != ask.zone {
             cost += ZONE_COST_US + ZONE_COST_US_PER_BYTE * f64::from(ask.bytes);
         }
@@ -887,8 +895,8 @@
         if self.warm.iter().any(is_warm) {
             cost -= WARM_BONUS_US;
         }
-        if now.since(self.used_at) > IDLE_LIMIT {
-            cost -= IDLE_BONUS_US;
+        if self.samples == 0 && now.since(self.used_at) > NEW_LIMIT {
+            cost -= NEW_BONUS_US;
         }
         cost
     }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -79,6 +79,8 @@
     /// What its parts share.
     pub state: Arc<State>,
     callers: Listener,
+    /// Serve as long as the handles live.
+    _others: [Listener; 2],
 }
 
 /// Starts a router process.
@@ -99,7 +101,7 @@
         context, settings, run, fields, store, lease, socket,
     ));
     let ready_state = Arc::clone(&state);
-    http::bind(
+    let ready = http::bind(
         context,
         listen.ready,
         Limits::default(),
@@ -112,7 +114,7 @@
         has_date: false,
         ..Limits::default()
     };
-    http::bind(
+    let peers = http::bind(
         context,
         listen.peers,
         peer_limits,
@@ -144,7 +146,11 @@
         state.settings.zone,
         listen.callers
     );
-    Ok(Router { state, callers })
+    Ok(Router {
+        state,
+        callers,
+        _others: [ready, peers],
+    })
 }
 
 fn handler<F, A>(state: &Arc<State>, handle: F) -> Handler
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -202,10 +202,10 @@
     dealers: Mutex<Vec<(Box<str>, u64, Dealer)>>,
     fresh_at: Mutex<Instant>,
     own_fresh_at: Mutex<Instant>,
+    reading_since: Mutex<Option<Instant>>,
     full_deadlines: Mutex<Vec<(u32, u64)>>,
     wary: Mutex<Vec<(Box<str>, Instant)>>,
     is_leaving: AtomicBool,
-    reads_store: AtomicBool,
 }
 
 impl State {
@@ -238,10 +238,10 @@
             dealers: Mutex::new(Vec::new()),
             fresh_at: Mutex::new(Instant::default()),
             own_fresh_at: Mutex::new(Instant::default()),
+            reading_since: Mutex::new(None),
             full_deadlines: Mutex::new(Vec::new()),
             wary: Mutex::new(Vec::new()),
             is_leaving: AtomicBool::new(false),
-            reads_store: AtomicBool::new(false),
             settings,
         }
     }
@@ -312,12 +312,24 @@
 
     /// Says whether this VM reads the store for others.
     pub fn set_reads_store(&self, reads: bool) {
-        self.reads_store.store(reads, Ordering::Relaxed);
+        let mut since = self.reading_since.lock().unwrap();
+        match (reads, *since) {
+            (true, None) => *since = Some(clock::now()),
+            (false, Some(_)) => *since = None,
+            _ => {}
+        }
     }
 
     /// Tells whether this VM reads the store for others.
     pub fn reads_store(&self) -> bool {
-        self.reads_store.load(Ordering::Relaxed)
+        self.reading_since.lock().unwrap().is_some()
+    }
+
+    /// Tells whether this VM reads the store, but lately without success.
+    pub fn is_cut_off(&self) -> bool {
+        let since = *self.reading_since.lock().unwrap();
+        let Some(since) = since else { return false };
+        self.own_age().min(clock::now().since(since)) >= STORE_LOST
     }
 
     /// Notes a datagram from a peer.
@@ -362,15 +374,16 @@
         peers.get(member.datagrams).suspect_until <= clock::now()
     }
 
-    /// Works out which members this VM, as a relay, calls absent.
+    /// Works out which members this VM calls absent if it is a relay `since` then.
     ///
     /// Returns whether that differs from the last time.
-    pub fn find_absent(&self, since: Instant) -> bool {
+    pub fn find_absent(&self, since: Option<Instant>) -> bool {
         let now = clock::now();
         let view = self.view();
         let mut peers = self.peers.lock().unwrap();
         let mut absent = Vec::new();
         for member in &view.members {
+            let Some(since) = since else { break };
             if *member.name == *self.settings.name {
                 continue;
             }
--- a/src/router/sync.rs
+++ b/src/router/sync.rs
@@ -11,6 +11,7 @@
             Kind,
             KINDS, //
         },
+        rank,
         roster::Member,
         time::Instant,
     },
@@ -28,7 +29,7 @@
         peer,
         state::{
             State,
-            STORE_LOST, //
+            RELAYS, //
         },
         wire::{
             Beat,
@@ -37,6 +38,7 @@
     },
 };
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -62,8 +64,14 @@
 /// How often a VM shows that it is alive.
 const BEAT_PERIOD: Duration = Duration::from_millis(200);
 
-/// Age of the copy at which a VM reads the store itself.
-const READ_AGE: Duration = Duration::from_millis(1_300);
+/// Age that an answer of the store may have when it arrives.
+const ANSWER_AGE: Duration = Duration::from_millis(100);
+
+/// Age of the copy at which a VM reads the store itself, though relays answer.
+const READ_AGE: Duration = Duration::from_millis(1_800);
+
+/// Time without an answer of any relay after which a VM reads the store itself.
+const READ_SILENCE: Duration = Duration::from_millis(800);
 
 /// Shortest pause between two such reads.
 const READ_PAUSE: Duration = Duration::from_millis(900);
@@ -119,7 +127,8 @@
             Ok(revision) => {
                 as_of = Some(revision);
                 if kind == Kind::Manifest {
-                    state.set_own_fresh(began);
+                    let answered = clock::now().0.saturating_sub(ANSWER_AGE.as_micros() as u64);
+                    state.set_own_fresh(began.max(Instant(answered)));
                 }
                 let Some(since) = failing.take() else {
                     continue;
@@ -176,8 +185,7 @@
 
 /// Shows the relays that this VM is alive, and decides whether it is one.
 async fn beat(state: Arc<State>) {
-    let started = clock::now();
-    let mut was_relay = false;
+    let mut relay_since: Option<Instant> = None;
     loop {
         let view = state.view();
         let relays = state.relays(&view);
@@ -185,20 +193,31 @@
         let is_relay = relays.iter().any(is_own) || view.members.is_empty();
         let plans = peer::plans(&state);
         state.set_reads_store(is_relay || plans);
-        if is_relay != was_relay {
-            log::info!("event=relay is_relay={is_relay}");
-            was_relay = is_relay;
+        if is_relay != relay_since.is_some() {
+            log::info!("event=relay is_relay={is_relay} plans={plans}");
+            relay_since = is_relay.then(clock::now);
         }
         let beat = Beat {
             name: state.settings.name.clone(),
             run: state.run,
             is_leaving: state.is_leaving(),
-            has_store: !state.reads_store() || state.own_age() < STORE_LOST,
+            has_store: !state.is_cut_off(),
         };
-        for relay in relays.iter().filter(|member| !is_own(member)) {
-            send(&state, relay.datagrams, Datagram::Beat(beat.clone()));
+        // A relay that is passed over here for a moment still wants to hear this VM.
+        let known = rank::relays(&view.members, RELAYS, |_| true);
+        let mut hearers: Vec<SocketAddr> = relays
+            .iter()
+            .chain(known)
+            .filter(|member| !is_own(member))
+            .map(|member| member.datagrams)
+            .collect();
+        hearers.sort_unstable();
+        hearers.dedup();
+        for hearer in hearers {
+            send(&state, hearer, Datagram::Beat(beat.clone()));
         }
-        if state.find_absent(started) {
+        if state.find_absent(relay_since) {
+            log::info!("event=absent members=\"{}\"", state.absent().join(","));
             state.changed.notify(usize::MAX);
         }
         if is_relay {
@@ -213,9 +232,11 @@
 async fn follow(state: Arc<State>) {
     let mut copies: Vec<peer::Copy> = Vec::new();
     let mut last_read = Instant::default();
-    let mut patience = jitter(Duration::ZERO);
+    let mut followed = clock::now();
+    let mut patience = Duration::ZERO;
     loop {
-        if state.reads_store() && state.own_age() < STORE_LOST {
+        if state.reads_store() && !state.is_cut_off() {
+            followed = clock::now();
             sleep(ROLE_PERIOD).await;
             continue;
         }
@@ -231,7 +252,11 @@
             None => false,
             Some(relay) => peer::follow(&state, relay, &mut copies).await,
         };
-        if state.age() < READ_AGE + patience {
+        if is_followed {
+            followed = clock::now();
+        }
+        let is_alone = clock::now().since(followed) > READ_SILENCE + patience;
+        if state.age() < READ_AGE + patience && !is_alone {
             if !is_followed {
                 sleep(ROLE_PERIOD).await;
             }
@@ -246,7 +271,7 @@
             continue;
         }
         last_read = clock::now();
-        patience = jitter(Duration::from_millis(100)).mul_f64(rand::random::<f64>() * 4.0);
+        patience = Duration::from_millis(400).mul_f64(rand::random::<f64>());
         read(&state).await;
     }
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -10,3 +10,4 @@
 mod request_path;
 mod support;
 mod ticket;
+mod wire;
--- /dev/null
+++ b/tests/suite/wire.rs
@@ -0,0 +1,106 @@
+//! Messages between the VMs of the system survive their encoding.
+
+use rhubarbpick::{
+    core::{
+        holding::{
+            Claim,
+            Owner,
+            Range,
+            Table, //
+        },
+        manifest::{
+            Limits,
+            Manifest, //
+        },
+        mirror::{
+            Kind,
+            Object,
+            Value, //
+        },
+        roster::{
+            Endpoint,
+            Member, //
+        },
+    },
+    kernel::wire::{
+        decode,
+        encode, //
+    },
+    router::wire::State,
+};
+use std::sync::Arc;
+
+fn object(kind: Kind, value: Option<Value>) -> Object {
+    Object {
+        kind,
+        name: "one".into(),
+        revision: 7,
+        value,
+    }
+}
+
+#[test]
+fn state_of_every_kind_survives() {
+    let endpoint = Endpoint {
+        id: "i-1".into(),
+        service: "s".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "a".into(),
+        slots: 2,
+        is_leaving: false,
+        cold_ms: 0,
+        born: 1,
+    };
+    let member = Member {
+        name: "vm".into(),
+        run: 1,
+        peers: "10.0.0.1:81".parse().unwrap(),
+        datagrams: "10.0.0.1:82".parse().unwrap(),
+        zone: "a".into(),
+        cpu_millis: 200,
+    };
+    let manifest = Manifest {
+        version: 3,
+        services: Vec::new(),
+        hosts: Vec::new(),
+        limits: Limits {
+            head_bytes: 1,
+            body_bytes: 2,
+            idle_ms: 3,
+        },
+    };
+    let table = Table {
+        service: "s".into(),
+        claim: Claim {
+            node: "vm".into(),
+            run: 1,
+        },
+        last_fence: 4,
+        ranges: vec![Range {
+            from: 0,
+            to: 65_535,
+            owner: Some(Owner {
+                endpoint: "i-1".into(),
+                born: 1,
+            }),
+            previous: None,
+            fence: 4,
+        }],
+    };
+    let state = State {
+        copy: 1,
+        number: 2,
+        objects: vec![
+            object(Kind::Manifest, Some(Value::Manifest(Arc::new(manifest)))),
+            object(Kind::Endpoint, Some(Value::Endpoint(Arc::new(endpoint)))),
+            object(Kind::Endpoint, Some(Value::Unreadable)),
+            object(Kind::Endpoint, None),
+            object(Kind::Member, Some(Value::Member(Arc::new(member)))),
+            object(Kind::Table, Some(Value::Table(Arc::new(table)))),
+        ],
+        age_ms: 5,
+        absent: vec!["other".into()],
+    };
+    let decoded: State = decode(&encode(&state)).unwrap();
+    assert_eq!(decoded, state);
+}
