--- a/src/core/permit.rs
+++ b/src/core/permit.rs
@@ -64,6 +64,9 @@
 const BLOCK_RANGE: (Duration, Duration) =
     (Duration::from_millis(250), Duration::from_millis(2000));
 
+/// How long an endpoint that did not hold a key is left out: time for a renewal.
+const DOUBT: Duration = Duration::from_millis(60);
+
 /// Time by which a request from another zone has to be better served, in microseconds.
 const ZONE_COST_US: f64 = 10_000.0;
 
@@ -295,13 +298,13 @@
 
 impl Desk {
     /// Starts without endpoints.
-    pub fn new(bound: Bound) -> Self {
+    pub fn new(bound: Bound, now: Instant) -> Self {
         Self {
             servers: Vec::new(),
             waiting: Vec::new(),
             classes: Vec::new(),
             askers: Vec::new(),
-            budget: Budget::new(bound),
+            budget: Budget::new(bound, now),
             load: 0.0,
             load_at: Instant::default(),
             noise: 0x9e37_79b9_7f4a_7c15,
@@ -918,7 +921,8 @@
                     self.block(now);
                 }
             }
-            Outcome::NotHolder | Outcome::Dropped => {}
+            Outcome::NotHolder => self.blocked_until = now.after(DOUBT),
+            Outcome::Dropped => {}
         }
     }
 
--- a/src/core/retry.rs
+++ b/src/core/retry.rs
@@ -16,6 +16,9 @@
 /// repeats that VMs make without asking one.
 const USED_PERCENT: u64 = 60;
 
+/// The same in the first window, as what was repeated before is not known.
+const USED_PERCENT_NEW: u64 = 25;
+
 /// Bound on the repeats of one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bound {
@@ -38,14 +41,16 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     bound: Bound,
+    since: Instant,
     buckets: [Bucket; BUCKETS],
 }
 
 impl Budget {
     /// Starts without a count.
-    pub fn new(bound: Bound) -> Self {
+    pub fn new(bound: Bound, now: Instant) -> Self {
         Self {
             bound,
+            since: now,
             buckets: [Bucket::default(); BUCKETS],
         }
     }
@@ -79,7 +84,9 @@
             (firsts + bucket.firsts, repeats + bucket.repeats)
         });
         let allowed = firsts * self.bound.share_millis / 1000 + self.bound.slack;
-        if (repeats + 1) * 100 > allowed * USED_PERCENT {
+        let is_new = now.since(self.since) < self.bound.window;
+        let percent = if is_new { USED_PERCENT_NEW } else { USED_PERCENT };
+        if (repeats + 1) * 100 > allowed * percent {
             return false;
         }
         self.bucket(now).repeats += 1;
--- a/src/router/desk.rs
+++ b/src/router/desk.rs
@@ -130,7 +130,7 @@
             let job = Arc::new(Job {
                 service: service.into(),
                 inner: Mutex::new(Inner {
-                    desk: Desk::new(state.settings.bounds.retry),
+                    desk: Desk::new(state.settings.bounds.retry, clock::now()),
                     heat: Heat::default(),
                     planner: None,
                     view: Arc::new(View::default()),
