Remember being cut off from the store, and hear all members at five VMs

Entries now also refuse to send to an endpoint that has been leaving for 0.6 of its time. Ruled out: a late watch.

--- a/src/router/asks.rs
+++ b/src/router/asks.rs
@@ -382,7 +382,7 @@
         None => {
             let open = view
                 .endpoints_of(service)
-                .map(|(endpoint, _)| endpoint)
+                .map(|listed| &listed.endpoint)
                 .filter(|endpoint| !endpoint.is_leaving && !ask.avoid.contains(&endpoint.id));
             let least = open.min_by_key(|endpoint| {
                 let noise = xxhash_rust::xxh3::xxh3_64_with_seed(endpoint.id.as_bytes(), ask.left_us);
--- a/src/router/desk.rs
+++ b/src/router/desk.rs
@@ -84,7 +84,7 @@
         self.view = Arc::clone(view);
         let endpoints = view
             .endpoints_of(service)
-            .map(|(endpoint, cold_until)| (&**endpoint, *cold_until));
+            .map(|listed| (&*listed.endpoint, listed.cold_until));
         self.desk.set_endpoints(endpoints, now);
     }
 
--- a/src/router/peer.rs
+++ b/src/router/peer.rs
@@ -144,7 +144,9 @@
     });
     let now = clock::now();
     state.set_fresh(Instant(now.0.saturating_sub(age.as_micros() as u64)));
-    state.set_told(reply.absent);
+    if !state.hears_all() {
+        state.set_told(reply.absent);
+    }
     let entry = Copy {
         relay: relay.peers,
         copy: reply.copy,
--- a/src/router/planner.rs
+++ b/src/router/planner.rs
@@ -184,6 +184,9 @@
         }
         Err(error) => {
             log::info!("event=claim_not_taken service={service} why=\"{error}\"");
+            if !matches!(error, Error::Conflict(_)) {
+                state.set_store_failed();
+            }
             sleep(WRITE_PAUSE).await;
             None
         }
@@ -342,7 +345,7 @@
     }
     let roster: Vec<Arc<Endpoint>> = view
         .endpoints_of(service)
-        .map(|(endpoint, _)| Arc::clone(endpoint))
+        .map(|listed| Arc::clone(&listed.endpoint))
         .collect();
     let desk::Inner {
         desk,
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -17,7 +17,10 @@
             Outcome, //
         },
     },
-    kernel::http::Body,
+    kernel::{
+        clock,
+        http::Body, //
+    },
     router::{
         asks,
         attempt::{
@@ -86,6 +89,9 @@
 /// Time that has to be left for another try.
 const TRY_MIN: Duration = Duration::from_millis(30);
 
+/// Part of the time to drain after which a leaving endpoint gets no request.
+const DRAIN_PART: f64 = 0.6;
+
 /// A successful request in so many is logged.
 const LOG_ONE_IN: u64 = 256;
 
@@ -269,8 +275,15 @@
         };
         trail.endpoint = permit.endpoint.clone();
         let view = state.view();
-        let Some(endpoint) = view.endpoint(&permit.endpoint) else {
-            // The dispatcher knows an endpoint that is not known here yet, or no more.
+        let limit = state.settings.bounds.drain.mul_f64(DRAIN_PART);
+        let now = clock::now();
+        let listed = view.endpoint(&permit.endpoint).filter(|listed| {
+            let since = listed.leaving_since;
+            since.is_none_or(|since| now.since(since) < limit)
+        });
+        let Some(endpoint) = listed.map(|listed| &listed.endpoint) else {
+            // The dispatcher knows an endpoint that is not known here yet, or no
+            // more, or does not know yet that it is leaving.
             avoid.push(permit.endpoint.clone());
             permit.end(Outcome::Unreachable);
             trail.tries += 1;
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -68,26 +68,40 @@
 /// Age from which the store counts as out of reach.
 pub const STORE_LOST: Duration = Duration::from_millis(1_700);
 
+/// How long a VM counts as cut off from the store after a call of its own failed.
+const STORE_DOUBT: Duration = Duration::from_millis(4_000);
+
 /// What is known of the platform, as one consistent set.
 #[derive(Clone, Debug, Default)]
 pub struct View {
     /// The configuration with the highest version seen.
     pub manifest: Option<Arc<Manifest>>,
-    /// Endpoints, sorted by identity, and until when they are cold.
-    pub endpoints: Vec<(Arc<Endpoint>, Instant)>,
+    /// Endpoints, sorted by identity.
+    pub endpoints: Vec<Listed>,
     /// VMs of the system, sorted by name.
     pub members: Vec<Member>,
     /// Tables with their revisions, sorted by service.
     pub tables: Vec<(u64, Arc<Table>)>,
 }
 
+/// An endpoint of the view.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// What it says of itself.
+    pub endpoint: Arc<Endpoint>,
+    /// Until when it is cold.
+    pub cold_until: Instant,
+    /// When it was first seen to be leaving.
+    pub leaving_since: Option<Instant>,
+}
+
 impl View {
     /// Finds an endpoint.
-    pub fn endpoint(&self, id: &str) -> Option<&Arc<Endpoint>> {
+    pub fn endpoint(&self, id: &str) -> Option<&Listed> {
         let place = self
             .endpoints
-            .binary_search_by(|(endpoint, _)| (*endpoint.id).cmp(id));
-        place.ok().map(|index| &self.endpoints[index].0)
+            .binary_search_by(|listed| (*listed.endpoint.id).cmp(id));
+        place.ok().map(|index| &self.endpoints[index])
     }
 
     /// Finds the table of a service.
@@ -102,9 +116,9 @@
     pub fn endpoints_of<'a>(
         &'a self,
         service: &'a str,
-    ) -> impl Iterator<Item = &'a (Arc<Endpoint>, Instant)> + 'a {
+    ) -> impl Iterator<Item = &'a Listed> + 'a {
         let all = self.endpoints.iter();
-        all.filter(move |(endpoint, _)| *endpoint.service == *service)
+        all.filter(move |listed| *listed.endpoint.service == *service)
     }
 
     /// Tells whether each key of a service belongs to one endpoint.
@@ -130,6 +144,7 @@
     peers: Vec<Peer>,
     told: Vec<Box<str>>,
     said: Vec<Box<str>>,
+    hears_all: bool,
 }
 
 impl Peers {
@@ -203,6 +218,7 @@
     fresh_at: Mutex<Instant>,
     own_fresh_at: Mutex<Instant>,
     reading_since: Mutex<Option<Instant>>,
+    store_failed: Mutex<Option<Instant>>,
     full_deadlines: Mutex<Vec<(u32, u64)>>,
     wary: Mutex<Vec<(Box<str>, Instant)>>,
     is_leaving: AtomicBool,
@@ -239,6 +255,7 @@
             fresh_at: Mutex::new(Instant::default()),
             own_fresh_at: Mutex::new(Instant::default()),
             reading_since: Mutex::new(None),
+            store_failed: Mutex::new(None),
             full_deadlines: Mutex::new(Vec::new()),
             wary: Mutex::new(Vec::new()),
             is_leaving: AtomicBool::new(false),
@@ -297,6 +314,7 @@
         let mut fresh = self.own_fresh_at.lock().unwrap();
         *fresh = (*fresh).max(at);
         drop(fresh);
+        *self.store_failed.lock().unwrap() = None;
         self.set_fresh(at);
     }
 
@@ -325,11 +343,25 @@
         self.reading_since.lock().unwrap().is_some()
     }
 
-    /// Tells whether this VM reads the store, but lately without success.
+    /// Notes that the store did not take a call of this VM.
+    pub fn set_store_failed(&self) {
+        *self.store_failed.lock().unwrap() = Some(clock::now());
+    }
+
+    /// Tells whether this VM uses the store, but lately without success.
     pub fn is_cut_off(&self) -> bool {
+        let failed = *self.store_failed.lock().unwrap();
+        if failed.is_some_and(|at| clock::now().since(at) < STORE_DOUBT) {
+            return true;
+        }
         let since = *self.reading_since.lock().unwrap();
         let Some(since) = since else { return false };
-        self.own_age().min(clock::now().since(since)) >= STORE_LOST
+        let is_lost = self.own_age().min(clock::now().since(since)) >= STORE_LOST;
+        if is_lost {
+            // Remembered, as it stops reading for others and would not notice again.
+            self.set_store_failed();
+        }
+        is_lost
     }
 
     /// Notes a datagram from a peer.
@@ -365,7 +397,7 @@
     /// Tells whether a member is believed to be alive and of use.
     pub fn is_usable(&self, member: &Member) -> bool {
         if *member.name == *self.settings.name {
-            return !self.is_leaving();
+            return !self.is_leaving() && !self.is_cut_off();
         }
         let mut peers = self.peers.lock().unwrap();
         if peers.told.binary_search(&member.name).is_ok() {
@@ -374,7 +406,7 @@
         peers.get(member.datagrams).suspect_until <= clock::now()
     }
 
-    /// Works out which members this VM calls absent if it is a relay `since` then.
+    /// Works out which members this VM calls absent if it hears all of them `since` then.
     ///
     /// Returns whether that differs from the last time.
     pub fn find_absent(&self, since: Option<Instant>) -> bool {
@@ -393,11 +425,17 @@
                 absent.push(member.name.clone());
             }
         }
+        peers.hears_all = since.is_some();
         let is_changed = peers.said != absent;
         peers.said = absent;
         is_changed
     }
 
+    /// Tells whether this VM hears all members itself.
+    pub fn hears_all(&self) -> bool {
+        self.peers.lock().unwrap().hears_all
+    }
+
     /// Returns the members that this VM calls absent.
     pub fn absent(&self) -> Vec<Box<str>> {
         self.peers.lock().unwrap().said.clone()
@@ -499,15 +537,19 @@
         let Some(Value::Endpoint(endpoint)) = &object.value else {
             continue;
         };
-        let place = old
-            .endpoints
-            .binary_search_by(|(known, _)| known.id.cmp(&endpoint.id));
-        let known = place.ok().map(|index| &old.endpoints[index]);
-        let cold_until = match known {
-            Some((known, until)) if Arc::ptr_eq(known, endpoint) => *until,
-            _ => now.after(Duration::from_millis(endpoint.cold_ms)),
+        let known = old.endpoint(&endpoint.id);
+        let listed = match known {
+            Some(known) if Arc::ptr_eq(&known.endpoint, endpoint) => known.clone(),
+            _ => Listed {
+                endpoint: Arc::clone(endpoint),
+                cold_until: now.after(Duration::from_millis(endpoint.cold_ms)),
+                leaving_since: endpoint.is_leaving.then(|| {
+                    let since = known.and_then(|known| known.leaving_since);
+                    since.unwrap_or(now)
+                }),
+            },
         };
-        view.endpoints.push((Arc::clone(endpoint), cold_until));
+        view.endpoints.push(listed);
     }
     for object in mirror.objects(Kind::Member) {
         if let Some(Value::Member(member)) = &object.value {
--- a/src/router/sync.rs
+++ b/src/router/sync.rs
@@ -27,10 +27,7 @@
     router::{
         datagram::send,
         peer,
-        state::{
-            State,
-            RELAYS, //
-        },
+        state::State,
         wire::{
             Beat,
             Datagram, //
@@ -61,6 +58,10 @@
 /// How often a VM checks whether it reads the store.
 const ROLE_PERIOD: Duration = Duration::from_millis(100);
 
+/// VMs to which all others show that they are alive; more than the relays, so
+/// that those that take their place know already.
+const HEARERS: usize = 5;
+
 /// How often a VM shows that it is alive.
 const BEAT_PERIOD: Duration = Duration::from_millis(200);
 
@@ -186,6 +187,7 @@
 /// Shows the relays that this VM is alive, and decides whether it is one.
 async fn beat(state: Arc<State>) {
     let mut relay_since: Option<Instant> = None;
+    let mut hearing_since: Option<Instant> = None;
     loop {
         let view = state.view();
         let relays = state.relays(&view);
@@ -203,8 +205,12 @@
             is_leaving: state.is_leaving(),
             has_store: !state.is_cut_off(),
         };
-        // A relay that is passed over here for a moment still wants to hear this VM.
-        let known = rank::relays(&view.members, RELAYS, |_| true);
+        // The first ones hear everybody, whatever is believed of them here.
+        let known = rank::relays(&view.members, HEARERS, |_| true);
+        let hears = is_relay || known.iter().any(|member| is_own(member));
+        if hears != hearing_since.is_some() {
+            hearing_since = hears.then(clock::now);
+        }
         let mut hearers: Vec<SocketAddr> = relays
             .iter()
             .chain(known)
@@ -216,12 +222,12 @@
         for hearer in hearers {
             send(&state, hearer, Datagram::Beat(beat.clone()));
         }
-        if state.find_absent(relay_since) {
+        if state.find_absent(hearing_since) {
             log::info!("event=absent members=\"{}\"", state.absent().join(","));
             state.changed.notify(usize::MAX);
         }
-        if is_relay {
-            // A relay takes its own word; it hears every member.
+        if hears {
+            // It takes its own word, as it hears every member.
             state.set_told(state.absent());
         }
         sleep(BEAT_PERIOD).await;
