--- a/src/core/holding.rs
+++ b/src/core/holding.rs
@@ -308,6 +308,7 @@
     edits: Vec<Edit>,
     last_fence: u64,
     is_writing: bool,
+    is_outdated: bool,
     retry_write: Instant,
     next_round: Instant,
     /// When an endpoint was last seen for the first time.
@@ -352,6 +353,7 @@
             edits: Vec::new(),
             last_fence: table.last_fence,
             is_writing: false,
+            is_outdated: false,
             retry_write: now,
             next_round: now,
             joined: now,
@@ -361,6 +363,13 @@
         }
     }
 
+    /// Takes every hold for over, which only a test of this rule may do.
+    pub fn forget_bounds(&mut self, now: Instant) {
+        for piece in &mut self.pieces {
+            piece.bound = now;
+        }
+    }
+
     /// Returns the table in force.
     pub fn table(&self) -> &Table {
         &self.table
@@ -397,6 +406,17 @@
         now.since(self.confirmed)
     }
 
+    /// Notes that the store holds a table that this planner did not write.
+    pub fn set_outdated(&mut self) {
+        self.is_outdated = true;
+        self.unconfirm();
+    }
+
+    /// Tells whether the store holds a table that this planner did not write.
+    pub fn is_outdated(&self) -> bool {
+        self.is_outdated
+    }
+
     /// Tells whether the claim was confirmed lately enough to act on it.
     pub fn is_confirmed(&self, now: Instant) -> bool {
         now.since(self.confirmed) < CLAIM_TERM
@@ -651,8 +671,9 @@
                 let next = self.seats[target].owner();
                 self.push(from, to, Some(next), Some(owner));
             }
-        } else if is_settling && is_lost {
-            // The next owner was lost before it got the keys.
+        } else if is_settling && is_lost && is_over {
+            // The next owner was lost before it got the keys, as far as this
+            // planner knows; under another one it may have got them.
             if let Some(target) = choose() {
                 let next = self.seats[target].owner();
                 let previous = self.previous(index);
@@ -752,6 +773,17 @@
         self.retry_write = again;
     }
 
+    /// Tells whether a write under way gives the piece, whose hold is over, to another.
+    ///
+    /// The write may take effect at any time, even if its answer is lost, so
+    /// the present owner must not get the piece again meanwhile.
+    fn is_given_away(&self, piece: &Piece) -> bool {
+        self.edits.iter().any(|edit| {
+            let is_apart = edit.to < piece.from || piece.to < edit.from;
+            !is_apart && edit.previous.is_none() && edit.owner != piece.owner
+        })
+    }
+
     fn release(&mut self, steps: &mut Vec<Step>) {
         for index in 0..self.pieces.len() {
             let piece = &self.pieces[index];
@@ -791,7 +823,9 @@
             }
             let owner = seat.owner();
             let is_granted = |piece: &&Piece| {
-                piece.owner.as_ref() == Some(&owner) && !matches!(piece.phase, Phase::Settling { .. })
+                piece.owner.as_ref() == Some(&owner)
+                    && !matches!(piece.phase, Phase::Settling { .. })
+                    && !self.is_given_away(piece)
             };
             let own = self.pieces.iter().filter(is_granted);
             if seat.is_silent(now) || seat.needs_fence {
@@ -890,10 +924,11 @@
                 .owner
                 .as_ref()
                 .is_some_and(|owner| *owner.endpoint == *endpoint);
-            let is_inside = grant.from <= piece.from && piece.to <= grant.to;
-            if !is_inside {
+            if piece.to < grant.from || grant.to < piece.from {
                 continue;
             }
+            // Pieces may have been cut or joined since the grant was sent.
+            let is_inside = grant.from <= piece.from && piece.to <= grant.to;
             let end = result.sent.after(over(grant.hold));
             if let Phase::Settling { previous, until, .. } = &mut piece.phase {
                 if *previous.endpoint == *endpoint {
@@ -904,7 +939,7 @@
             if !is_owner {
                 continue;
             }
-            if is_done && piece.fence == grant.fence {
+            if is_done && is_inside && piece.fence == grant.fence {
                 // Any other planner's grants are fenced off from here on.
                 piece.bound = end;
                 if piece.phase == Phase::Granting {
@@ -1013,7 +1048,7 @@
         piece.changed = now;
         let previous = edit.previous.clone();
         let until = match &piece.phase {
-            Phase::Settling { until, .. } => *until,
+            Phase::Settling { until, .. } => (*until).max(piece.bound),
             _ => piece.bound,
         };
         piece.phase = match previous {
--- a/src/router/member.rs
+++ b/src/router/member.rs
@@ -44,6 +44,7 @@
         cpu_millis: state.settings.cpu_millis,
     };
     join(&state, &own).await;
+    state.set_joined();
     let mut silent: Vec<(Box<str>, Instant)> = Vec::new();
     loop {
         sleep(PERIOD).await;
--- a/src/router/peer.rs
+++ b/src/router/peer.rs
@@ -71,13 +71,6 @@
     number: u64,
 }
 
-/// Tells whether this VM plans a service.
-pub fn plans(state: &State) -> bool {
-    let jobs = state.jobs.lock().unwrap();
-    jobs.iter()
-        .any(|job| job.inner.lock().unwrap().planner.is_some())
-}
-
 /// Answers a peer.
 pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
     if request.uri().path() != STATE_PATH {
--- a/src/router/planner.rs
+++ b/src/router/planner.rs
@@ -139,11 +139,14 @@
     let claim = &table.claim;
     let holder = view.members.iter().find(|member| member.name == claim.node);
     let is_held = holder.is_some_and(|holder| holder.run == claim.run && state.is_usable(holder));
-    let is_own_earlier = claim.node == *own && claim.run != state.run;
-    if is_held && !is_own_earlier {
+    if claim.node == *own {
+        // An earlier run's claim, or one whose planner met a table that it had not written.
+        return ranked.iter().any(|member| member.name == *own);
+    }
+    if is_held {
         return false;
     }
-    let mut others = ranked.iter().filter(|member| member.name != claim.node || member.run != claim.run);
+    let mut others = ranked.iter().filter(|member| member.name != claim.node);
     others.next().is_some_and(|first| first.name == *own)
 }
 
@@ -161,7 +164,7 @@
             let members = &view.members;
             let is_gone = members.iter().any(|member| {
                 member.name == old.claim.node && member.run > old.claim.run
-            });
+            }) || old.claim == table.claim;
             if is_gone {
                 Duration::ZERO
             } else {
@@ -276,8 +279,15 @@
     log::info!("event=claim_lost service={service} revision={revision}");
 }
 
-/// Tells whether another planner has the claim, or should take it.
+/// Tells whether the table in the store is not the one that this VM plans by.
 fn is_lost(state: &State, service: &str, job: &Job) -> bool {
+    let is_outdated = {
+        let inner = job.inner.lock().unwrap();
+        inner.planner.as_ref().is_none_or(Planner::is_outdated)
+    };
+    if is_outdated {
+        return true;
+    }
     let view = state.view();
     let Some((revision, table)) = view.table(service) else {
         return false;
@@ -325,10 +335,14 @@
                 };
                 if table.claim == planner.table().claim {
                     planner.confirm(began);
+                    state.set_own_fresh(began);
                 }
             }
             Ok(None) => log::error!("event=table_missing service={service}"),
-            Err(error) => log::warn!("event=claim_unconfirmed service={service} why=\"{error}\""),
+            Err(error) => {
+                log::warn!("event=claim_unconfirmed service={service} why=\"{error}\"");
+                state.set_store_failed();
+            }
         }
     });
 }
@@ -406,7 +420,13 @@
         planner.revision()
     };
     let sent = clock::now();
-    let written = write(state, &table, Some(revision)).await;
+    let mut written = write(state, &table, Some(revision)).await;
+    while matches!(written, Err(Error::Unknown)) && is_planning(job, revision) {
+        // It may still take effect: nothing else may be written before that is known.
+        log::warn!("event=table_unsure service={}", table.service);
+        sleep(WRITE_PAUSE).await;
+        written = write(state, &table, Some(revision)).await;
+    }
     report(state, job, |planner, now| match written {
         Ok(revision) => {
             log::info!(
@@ -424,13 +444,21 @@
                 table.service
             );
             if matches!(error, Error::Conflict(_)) {
-                planner.unconfirm();
+                planner.set_outdated();
+            } else {
+                state.set_store_failed();
             }
             planner.not_written(now.after(WRITE_PAUSE));
         }
     });
 }
 
+fn is_planning(job: &Job, revision: u64) -> bool {
+    let inner = job.inner.lock().unwrap();
+    let planner = inner.planner.as_ref();
+    planner.is_some_and(|planner| planner.revision() == revision)
+}
+
 async fn release(state: &Arc<State>, endpoint: &Endpoint, order: Release) -> Answer {
     metrics::counter!("rhubarbpick_orders_total", "kind" => "release").increment(1);
     (state.lease.release)(endpoint, order, RELEASE_TIMEOUT).await
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -168,6 +168,13 @@
     }
 }
 
+/// A VM's part in reading the store for the others.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    place: usize,
+    since: Instant,
+}
+
 /// Figures counted for the log's summary lines.
 #[derive(Debug, Default)]
 pub struct Counts {
@@ -217,11 +224,12 @@
     dealers: Mutex<Vec<(Box<str>, u64, Dealer)>>,
     fresh_at: Mutex<Instant>,
     own_fresh_at: Mutex<Instant>,
-    reading_since: Mutex<Option<Instant>>,
+    reading: Mutex<Option<Reading>>,
     store_failed: Mutex<Option<Instant>>,
     full_deadlines: Mutex<Vec<(u32, u64)>>,
     wary: Mutex<Vec<(Box<str>, Instant)>>,
     is_leaving: AtomicBool,
+    is_joined: AtomicBool,
 }
 
 impl State {
@@ -254,11 +262,12 @@
             dealers: Mutex::new(Vec::new()),
             fresh_at: Mutex::new(Instant::default()),
             own_fresh_at: Mutex::new(Instant::default()),
-            reading_since: Mutex::new(None),
+            reading: Mutex::new(None),
             store_failed: Mutex::new(None),
             full_deadlines: Mutex::new(Vec::new()),
             wary: Mutex::new(Vec::new()),
             is_leaving: AtomicBool::new(false),
+            is_joined: AtomicBool::new(false),
             settings,
         }
     }
@@ -328,19 +337,16 @@
         clock::now().since(*self.own_fresh_at.lock().unwrap())
     }
 
-    /// Says whether this VM reads the store for others.
-    pub fn set_reads_store(&self, reads: bool) {
-        let mut since = self.reading_since.lock().unwrap();
-        match (reads, *since) {
-            (true, None) => *since = Some(clock::now()),
-            (false, Some(_)) => *since = None,
-            _ => {}
-        }
+    /// Sets this VM's place among those that read the store, if it has one.
+    pub fn set_reads_store(&self, place: Option<usize>) {
+        let mut reading = self.reading.lock().unwrap();
+        let since = reading.map_or_else(clock::now, |reading| reading.since);
+        *reading = place.map(|place| Reading { place, since });
     }
 
-    /// Tells whether this VM reads the store for others.
-    pub fn reads_store(&self) -> bool {
-        self.reading_since.lock().unwrap().is_some()
+    /// Returns this VM's place among those that read the store.
+    pub fn reads_store(&self) -> Option<usize> {
+        self.reading.lock().unwrap().map(|reading| reading.place)
     }
 
     /// Notes that the store did not take a call of this VM.
@@ -354,8 +360,10 @@
         if failed.is_some_and(|at| clock::now().since(at) < STORE_DOUBT) {
             return true;
         }
-        let since = *self.reading_since.lock().unwrap();
-        let Some(since) = since else { return false };
+        let reading = *self.reading.lock().unwrap();
+        let Some(Reading { since, .. }) = reading else {
+            return false;
+        };
         let is_lost = self.own_age().min(clock::now().since(since)) >= STORE_LOST;
         if is_lost {
             // Remembered, as it stops reading for others and would not notice again.
@@ -502,6 +510,16 @@
         place.is_ok_and(|index| wary[index].1 > clock::now())
     }
 
+    /// Notes that this VM is listed among the members.
+    pub fn set_joined(&self) {
+        self.is_joined.store(true, Ordering::Release);
+    }
+
+    /// Tells whether this VM has listed itself among the members.
+    pub fn is_joined(&self) -> bool {
+        self.is_joined.load(Ordering::Acquire)
+    }
+
     /// Stops being ready and tells the peers.
     pub fn leave(&self) {
         self.is_leaving.store(true, Ordering::Release);
--- a/src/router/sync.rs
+++ b/src/router/sync.rs
@@ -1,7 +1,10 @@
 //! Keeping this VM's copy of the store.
 //!
-//! A few VMs, the relays, watch the store; the others ask a relay, which
-//! answers as soon as something changes. Every VM knows how old its copy is.
+//! A few VMs, the relays, watch the store: the first one all kinds of objects,
+//! the next ones what has to be known soon, so that the loss of one costs
+//! nothing. The others ask a relay, which answers as soon as something changes.
+//! Calls to the store so depend on the changes and not on the number of VMs.
+//! Every VM knows how old its copy is.
 //! When no relay answers or all of them are cut off from the store, a VM
 //! reads the store itself, after a pause of random length.
 
@@ -46,6 +49,9 @@
 /// How long the other watches wait.
 const WATCH_WAIT: Duration = Duration::from_millis(5_000);
 
+/// Pause in which further changes may come before the next watch.
+const GATHER: Duration = Duration::from_millis(40);
+
 /// Pause after the store turned a call away or did not answer, at least.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -74,6 +80,9 @@
 /// Time without an answer of any relay after which a VM reads the store itself.
 const READ_SILENCE: Duration = Duration::from_millis(800);
 
+/// Time in which a VM that starts waits for the relays to have a copy.
+const START: Duration = Duration::from_millis(2_500);
+
 /// Shortest pause between two such reads.
 const READ_PAUSE: Duration = Duration::from_millis(900);
 
@@ -94,13 +103,22 @@
     span + span.mul_f64(rand::random::<f64>())
 }
 
+/// Tells whether the relay at `place` watches a kind.
+fn is_watched(kind: Kind, place: usize) -> bool {
+    match kind {
+        Kind::Manifest => true,
+        Kind::Endpoint => place < 2,
+        Kind::Member | Kind::Table => place == 0,
+    }
+}
+
 /// Watches a kind of objects whenever this VM is a relay.
 async fn watch(state: Arc<State>, kind: Kind) {
     let mut as_of: Option<u64> = None;
     let mut failing: Option<Instant> = None;
     let mut grace_end: Option<Instant> = None;
     loop {
-        if !state.reads_store() {
+        if !state.reads_store().is_some_and(|place| is_watched(kind, place)) {
             // A copy that was kept by others may be ahead: lists merge by revision.
             as_of = None;
             sleep(ROLE_PERIOD).await;
@@ -126,7 +144,12 @@
         };
         match result {
             Ok(revision) => {
+                let is_change = as_of.is_some_and(|known| known < revision);
                 as_of = Some(revision);
+                if is_change && kind != Kind::Manifest {
+                    // Changes often come several at once.
+                    sleep(GATHER).await;
+                }
                 if kind == Kind::Manifest {
                     let answered = clock::now().0.saturating_sub(ANSWER_AGE.as_micros() as u64);
                     state.set_own_fresh(began.max(Instant(answered)));
@@ -192,12 +215,11 @@
         let view = state.view();
         let relays = state.relays(&view);
         let is_own = |member: &Member| *member.name == *state.settings.name;
-        let is_relay = relays.iter().any(is_own) || view.members.is_empty();
-        let plans = peer::plans(&state);
-        state.set_reads_store(is_relay || plans);
-        if is_relay != relay_since.is_some() {
-            log::info!("event=relay is_relay={is_relay} plans={plans}");
-            relay_since = is_relay.then(clock::now);
+        let place = relays.iter().position(is_own);
+        state.set_reads_store(place);
+        if place.is_some() != relay_since.is_some() {
+            log::info!("event=relay is_relay={}", place.is_some());
+            relay_since = place.map(|_| clock::now());
         }
         let beat = Beat {
             name: state.settings.name.clone(),
@@ -207,7 +229,7 @@
         };
         // The first ones hear everybody, whatever is believed of them here.
         let known = rank::relays(&view.members, HEARERS, |_| true);
-        let hears = is_relay || known.iter().any(|member| is_own(member));
+        let hears = place.is_some() || known.iter().any(|member| is_own(member));
         if hears != hearing_since.is_some() {
             hearing_since = hears.then(clock::now);
         }
@@ -238,22 +260,30 @@
 async fn follow(state: Arc<State>) {
     let mut copies: Vec<peer::Copy> = Vec::new();
     let mut last_read = Instant::default();
-    let mut followed = clock::now();
+    let started = clock::now();
+    let mut followed = started;
     let mut patience = Duration::ZERO;
     loop {
-        if state.reads_store() && !state.is_cut_off() {
+        let view = state.view();
+        if view.members.is_empty() {
+            meet(&state).await;
+            continue;
+        }
+        let place = state.reads_store().filter(|_| !state.is_cut_off());
+        if place == Some(0) {
             followed = clock::now();
             sleep(ROLE_PERIOD).await;
             continue;
         }
-        let view = state.view();
         let mut relays = state.relays(&view);
         relays.retain(|member| *member.name != *state.settings.name);
-        relays.sort_by_key(|member| {
-            let own = xxhash_rust::xxh3::xxh3_64(state.settings.name.as_bytes());
-            let turn = xxhash_rust::xxh3::xxh3_64_with_seed(member.name.as_bytes(), own);
-            (member.zone != state.settings.zone, turn)
-        });
+        if place.is_none() {
+            relays.sort_by_key(|member| {
+                let own = xxhash_rust::xxh3::xxh3_64(state.settings.name.as_bytes());
+                let turn = xxhash_rust::xxh3::xxh3_64_with_seed(member.name.as_bytes(), own);
+                (member.zone != state.settings.zone, turn)
+            });
+        }
         let is_followed = match relays.first() {
             None => false,
             Some(relay) => peer::follow(&state, relay, &mut copies).await,
@@ -261,8 +291,9 @@
         if is_followed {
             followed = clock::now();
         }
+        let is_start = clock::now().since(started) < START;
         let is_alone = clock::now().since(followed) > READ_SILENCE + patience;
-        if state.age() < READ_AGE + patience && !is_alone {
+        if (is_start || state.age() < READ_AGE + patience) && !is_alone {
             if !is_followed {
                 sleep(ROLE_PERIOD).await;
             }
@@ -282,6 +313,21 @@
     }
 }
 
+/// Learns the members when this VM starts.
+async fn meet(state: &Arc<State>) {
+    if state.revision(Kind::Member, &state.settings.name).is_none() {
+        // This VM's own entry is written first.
+        sleep(ROLE_PERIOD / 4).await;
+        if !state.is_joined() {
+            return;
+        }
+    }
+    if let Err(error) = list(state, Kind::Member, false).await {
+        log::warn!("event=store_lost kind=Member why=\"{error}\"");
+        sleep(jitter(RETRY_PAUSE)).await;
+    }
+}
+
 /// Reads the whole store once.
 async fn read(state: &Arc<State>) {
     let began = clock::now();
--- /dev/null
+++ b/tests/suite/holding.rs
@@ -0,0 +1,138 @@
+//! Sole ownership under the platform's contract of grants.
+
+mod world;
+
+use rhubarbpick::core::holding::{
+    Claim,
+    Table, //
+};
+use std::time::Duration;
+use world::{
+    Broken,
+    Faults,
+    World,
+    CALM, //
+};
+
+/// Seeds of the schedules that every build plays.
+const SEEDS: u64 = 100;
+
+/// Length of a schedule with faults.
+const SCHEDULE: Duration = Duration::from_secs(40);
+
+/// Time after the last fault in which all keys must be held again: the
+/// longest foreign claim and hold, and some renewals.
+const RECOVERY: Duration = Duration::from_secs(22);
+
+const ALL: Faults = Faults {
+    late_order: 0.05,
+    lost_order: 0.05,
+    lost_write: 0.1,
+    crash: 0.15,
+    pause: 0.12,
+    outage: 0.08,
+    churn: 0.2,
+    cut: 0.2,
+};
+
+fn play(seed: u64, faults: Faults, broken: Broken) -> Result<(), String> {
+    let mut world = World::new(seed, 5, faults, broken);
+    world.run(SCHEDULE);
+    world.calm();
+    world.run(RECOVERY);
+    if let Some(failure) = world.failure {
+        return Err(failure);
+    }
+    if world.held != World::samples() {
+        return Err(format!("only {} keys are held at the end", world.held));
+    }
+    Ok(())
+}
+
+#[test]
+fn a_calm_start_grants_every_key() {
+    let mut world = World::new(1, 9, CALM, Broken::Nothing);
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.failure, None);
+    assert_eq!(world.held, World::samples());
+}
+
+#[test]
+fn no_key_has_two_holders_under_any_mix_of_faults() {
+    for seed in 0..SEEDS {
+        if let Err(failure) = play(seed, ALL, Broken::Nothing) {
+            panic!("seed {seed}: {failure}");
+        }
+    }
+}
+
+#[test]
+fn no_key_has_two_holders_when_orders_are_carried_out_late() {
+    let faults = Faults {
+        late_order: 0.4,
+        churn: 0.4,
+        pause: 0.1,
+        ..CALM
+    };
+    for seed in 0..SEEDS {
+        if let Err(failure) = play(seed, faults, Broken::Nothing) {
+            panic!("seed {seed}: {failure}");
+        }
+    }
+}
+
+#[test]
+fn no_key_has_two_holders_when_planners_pause_in_outages() {
+    let faults = Faults {
+        pause: 0.4,
+        outage: 0.2,
+        cut: 0.4,
+        lost_write: 0.2,
+        ..CALM
+    };
+    for seed in 0..SEEDS {
+        if let Err(failure) = play(seed, faults, Broken::Nothing) {
+            panic!("seed {seed}: {failure}");
+        }
+    }
+}
+
+/// Tells whether some schedule shows two holders when a rule is broken.
+fn is_found(broken: Broken, faults: Faults) -> bool {
+    (0..SEEDS * 4).any(|seed| {
+        let failure = play(seed, faults, broken).err();
+        failure.is_some_and(|failure| failure.contains("is held by"))
+    })
+}
+
+#[test]
+fn the_search_finds_each_broken_rule() {
+    let takeover = Faults {
+        pause: 0.5,
+        cut: 0.6,
+        churn: 0.3,
+        ..CALM
+    };
+    assert!(is_found(Broken::ForeignHolds, takeover), "foreign holds");
+    assert!(is_found(Broken::HoldFromSending, ALL), "hold from sending");
+    assert!(is_found(Broken::ClaimIgnored, takeover), "claim ignored");
+    let late = Faults {
+        late_order: 0.4,
+        churn: 0.6,
+        ..CALM
+    };
+    assert!(is_found(Broken::ReleaseFence, late) || is_found(Broken::ReleaseFence, ALL), "release fence");
+}
+
+#[test]
+fn a_claim_keeps_owners_and_raises_every_fence() {
+    let claim = |run| Claim {
+        node: "vm".into(),
+        run,
+    };
+    let first = Table::claimed(None, "s", claim(1));
+    let second = Table::claimed(Some(&first), "s", claim(2));
+    assert_eq!(second.ranges.len(), first.ranges.len());
+    assert!(second.last_fence > first.last_fence);
+    assert!(second.ranges.iter().all(|range| range.fence == second.last_fence));
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod explore;
 mod holder;
+mod holding;
 mod overload;
 mod ownership;
 mod plan;
