--- a/src/core/holding.rs
+++ b/src/core/holding.rs
@@ -387,7 +387,10 @@
 
     /// Returns the number of pieces, and how many of them are held.
     pub fn pieces(&self) -> (usize, usize) {
-        let held = self.pieces.iter().filter(|piece| piece.phase == Phase::Held);
+        let held = self
+            .pieces
+            .iter()
+            .filter(|piece| piece.phase == Phase::Held);
         (self.pieces.len(), held.count())
     }
 
@@ -436,6 +439,8 @@
             return Spot::Vacant(now_to(piece.bound, now) + TIMER_MARGIN);
         }
         match &piece.phase {
+            // Not renewed in time, as when the store is down and a fence is needed.
+            Phase::Held if now >= piece.bound => Spot::Vacant(HOLD_MIN),
             Phase::Held => Spot::Held(&owner.endpoint),
             Phase::Granting => Spot::Moving(&owner.endpoint),
             Phase::Settling {
@@ -475,7 +480,10 @@
     pub fn hold(&self) -> Duration {
         let pieces = self.pieces.len() as u64;
         let period = Duration::from_millis(pieces * 1000 / GRANTS_PER_S);
-        (period * RENEWALS).max(HOLD_MIN).min(self.hold_max).min(HOLD_MAX)
+        (period * RENEWALS)
+            .max(HOLD_MIN)
+            .min(self.hold_max)
+            .min(HOLD_MAX)
     }
 
     /// Decides what to do now.
@@ -538,7 +546,9 @@
         }
         let pieces = &self.pieces;
         self.seats.retain(|seat| {
-            seat.is_listed || seat.is_busy || pieces.iter().any(|piece| piece.names(&seat.endpoint.id))
+            seat.is_listed
+                || seat.is_busy
+                || pieces.iter().any(|piece| piece.names(&seat.endpoint.id))
         });
     }
 
@@ -597,7 +607,9 @@
 
     fn servers(&self, capacity: &dyn Fn(&str) -> Option<f64>, now: Instant) -> Vec<Server> {
         let servers = self.seats.iter().map(|seat| Server {
-            capacity: capacity(&seat.endpoint.id).unwrap_or(UNKNOWN_CAPACITY).max(0.1),
+            capacity: capacity(&seat.endpoint.id)
+                .unwrap_or(UNKNOWN_CAPACITY)
+                .max(0.1),
             is_target: seat.is_listed
                 && !seat.endpoint.is_leaving
                 && seat.silent_since.is_none()
@@ -665,7 +677,9 @@
                 let owner = self.seats[target].owner();
                 self.push(from, to, Some(owner), None);
             }
-        } else if (seat.endpoint.is_leaving || !seat.is_listed) && !is_settling && !seat.is_silent(now)
+        } else if (seat.endpoint.is_leaving || !seat.is_listed)
+            && !is_settling
+            && !seat.is_silent(now)
         {
             if let Some(target) = choose() {
                 let next = self.seats[target].owner();
@@ -844,7 +858,11 @@
                 steps.push(Step::Probe(Arc::clone(&seat.endpoint), order));
                 let seat = &mut self.seats[place];
                 seat.is_busy = true;
-                let period = if has_keys { PROBE_PERIOD } else { IDLE_PROBE_PERIOD };
+                let period = if has_keys {
+                    PROBE_PERIOD
+                } else {
+                    IDLE_PROBE_PERIOD
+                };
                 seat.next = now.after(period);
                 continue;
             }
@@ -884,7 +902,10 @@
         let is_fenced = results.iter().any(|result| result.answer == Answer::Fenced);
         let has_news = self.pieces.iter().any(|piece| {
             piece.phase == Phase::Granting
-                && piece.owner.as_ref().is_some_and(|owner| *owner.endpoint == *endpoint)
+                && piece
+                    .owner
+                    .as_ref()
+                    .is_some_and(|owner| *owner.endpoint == *endpoint)
         });
         let Some(seat) = self.seat_mut(endpoint) else {
             return;
@@ -930,7 +951,10 @@
             // Pieces may have been cut or joined since the grant was sent.
             let is_inside = grant.from <= piece.from && piece.to <= grant.to;
             let end = result.sent.after(over(grant.hold));
-            if let Phase::Settling { previous, until, .. } = &mut piece.phase {
+            if let Phase::Settling {
+                previous, until, ..
+            } = &mut piece.phase
+            {
                 if *previous.endpoint == *endpoint {
                     *until = (*until).max(end);
                 }
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -166,8 +166,7 @@
     }
 
     fn place(&self, kind: Kind, name: &str) -> Result<usize, usize> {
-        self.entries.binary_search_by(|entry| {
-            (entry.object.kind, &*entry.object.name).cmp(&(kind, name))
-        })
+        self.entries
+            .binary_search_by(|entry| (entry.object.kind, &*entry.object.name).cmp(&(kind, name)))
     }
 }
--- a/src/core/permit.rs
+++ b/src/core/permit.rs
@@ -61,8 +61,13 @@
 const FAILURE_LIMIT: f64 = 0.6;
 
 /// How long an endpoint is left out at first and at most.
-const BLOCK_RANGE: (Duration, Duration) =
-    (Duration::from_millis(250), Duration::from_millis(2000));
+const BLOCK_RANGE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(2000));
+
+/// An endpoint is stuck if nothing came from it for so many usual times.
+const STUCK_FACTOR: f64 = 5.0;
+
+/// The same at least, in microseconds.
+const STUCK_MIN_US: f64 = 300_000.0;
 
 /// How long an endpoint that did not hold a key is left out: time for a renewal.
 const DOUBT: Duration = Duration::from_millis(60);
@@ -80,10 +85,10 @@
 const OWN_ZONE_WAIT: Duration = Duration::from_millis(60);
 
 /// What an open connection is worth, in microseconds.
-const WARM_BONUS_US: f64 = 40_000.0;
+const WARM_BONUS_US: f64 = 60_000.0;
 
 /// How long a connection is taken to stay open.
-const WARM_FOR: Duration = Duration::from_millis(3_800);
+const WARM_FOR: Duration = Duration::from_millis(6_000);
 
 /// Connections that are remembered for each endpoint.
 const WARM_MAX: usize = 24;
@@ -172,6 +177,8 @@
     Unreachable,
     /// The endpoint took the request and failed it.
     Failed,
+    /// The endpoint took the request and said nothing more.
+    Silent,
     /// The endpoint refused the request without running it.
     Shed,
     /// The endpoint does not hold the key.
@@ -228,11 +235,22 @@
 /// Finds the place of a key.
 pub type Locate<'a> = dyn Fn(u16) -> Place<'a> + 'a;
 
+/// A request that may be sent now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// Request.
+    pub ticket: Ticket,
+    /// Endpoint.
+    pub endpoint: Box<str>,
+    /// How long the endpoint is expected to take.
+    pub expected: Duration,
+}
+
 /// What changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Turn {
-    /// Requests that may be sent now, and where.
-    pub starts: Vec<(Ticket, Box<str>)>,
+    /// Requests that may be sent now.
+    pub starts: Vec<Start>,
     /// Requests that wait no longer.
     pub refusals: Vec<(Ticket, Refusal)>,
 }
@@ -271,6 +289,7 @@
     misses: u32,
     blocked_until: Instant,
     used_at: Instant,
+    answered_at: Instant,
     warm: Vec<(SocketAddr, Instant)>,
     load: f64,
     load_at: Instant,
@@ -291,6 +310,7 @@
     classes: Vec<Class>,
     askers: Vec<(SocketAddr, Instant)>,
     budget: Budget,
+    is_first: bool,
     load: f64,
     load_at: Instant,
     noise: u64,
@@ -305,6 +325,7 @@
             classes: Vec::new(),
             askers: Vec::new(),
             budget: Budget::new(bound, now),
+            is_first: false,
             load: 0.0,
             load_at: Instant::default(),
             noise: 0x9e37_79b9_7f4a_7c15,
@@ -338,6 +359,11 @@
             .retain(|server| server.is_listed || !server.running.is_empty());
     }
 
+    /// Says whether this is the desk that askers try first.
+    pub fn set_first(&mut self, is_first: bool) {
+        self.is_first = is_first;
+    }
+
     /// Returns the number of requests that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -369,9 +395,7 @@
     }
 
     fn find(&self, id: &str) -> Option<usize> {
-        let place = self
-            .servers
-            .binary_search_by(|server| (*server.id).cmp(id));
+        let place = self.servers.binary_search_by(|server| (*server.id).cmp(id));
         place.ok()
     }
 
@@ -398,7 +422,7 @@
             self.budget.count_first(now);
         }
         let judged = self.judge(&ask, locate, now)?;
-        if ask.is_repeat && !self.budget.take(now) {
+        if ask.is_repeat && !self.budget.take(self.is_first, now) {
             return Err(self.refuse(Reason::Budget, RETRY_MIN));
         }
         let left = Duration::from_micros(ask.left_us);
@@ -423,14 +447,13 @@
 
     fn insert(&mut self, waiting: Waiting) {
         let goal = waiting.order();
-        let place = self
-            .waiting
-            .partition_point(|other| other.order() <= goal);
+        let place = self.waiting.partition_point(|other| other.order() <= goal);
         self.waiting.insert(place, waiting);
     }
 
     fn is_known(&self, ticket: Ticket) -> bool {
-        self.waiting.iter().any(|waiting| waiting.ticket == ticket) || self.running_at(ticket).is_some()
+        self.waiting.iter().any(|waiting| waiting.ticket == ticket)
+            || self.running_at(ticket).is_some()
     }
 
     /// Returns the endpoint at which a request runs.
@@ -451,8 +474,8 @@
             return Ok(Fit::InTime);
         }
         let left = ask.left_us as f64;
-        let may_wait = estimate.wait_us <= left / f64::from(WAIT_DIVISOR)
-            && estimate.finish_us <= left;
+        let may_wait =
+            estimate.wait_us <= left / f64::from(WAIT_DIVISOR) && estimate.finish_us <= left;
         let is_spare = estimate.wait_us == 0.0 || estimate.load < SPARE_LOAD;
         if may_wait && is_spare && self.waiting.len() < WAITING_MAX {
             return Ok(Fit::Late);
@@ -506,7 +529,11 @@
         let Some(index) = self.find(id) else {
             return Err(self.refuse(Reason::NoOwner, RETRY_OVERLOADED));
         };
-        let order = (ask.rank, false, now.after(Duration::from_micros(ask.goal_us)));
+        let order = (
+            ask.rank,
+            false,
+            now.after(Duration::from_micros(ask.goal_us)),
+        );
         let ahead = self.waiting.iter().filter(|other| {
             let owner = other.ask.key.and_then(|key| locate(key).endpoint());
             owner == Some(id) && other.order() <= order
@@ -548,7 +575,11 @@
                 best_pace = best_pace.min(pace);
             }
         }
-        let order = (ask.rank, false, now.after(Duration::from_micros(ask.goal_us)));
+        let order = (
+            ask.rank,
+            false,
+            now.after(Duration::from_micros(ask.goal_us)),
+        );
         let ahead = self.waiting.iter().filter(|other| other.order() <= order);
         let ahead_us: f64 = ahead.map(|other| self.mean_us(other.ask.class)).sum();
         let work = mean / capacity.max(f64::MIN_POSITIVE);
@@ -560,7 +591,10 @@
                 load,
             });
         }
-        let usual_pace = usable.iter().map(|&index| self.servers[index].slots as f64).sum::<f64>()
+        let usual_pace = usable
+            .iter()
+            .map(|&index| self.servers[index].slots as f64)
+            .sum::<f64>()
             / capacity.max(f64::MIN_POSITIVE);
         let wait_us = (ahead_us + mean) / capacity.max(f64::MIN_POSITIVE);
         Ok(Estimate {
@@ -573,25 +607,21 @@
     /// Returns the endpoints that take work: all that are not left out, or,
     /// if more than half would be, those that failed least.
     fn usable(&self, now: Instant) -> Vec<usize> {
+        let mean = self.mean_of_mix();
+        let is_out = |index: usize| {
+            let server = &self.servers[index];
+            server.blocked_until > now || server.is_stuck(mean, now)
+        };
         let listed = (0..self.servers.len()).filter(|&index| {
             let server = &self.servers[index];
             server.is_listed && !server.is_leaving
         });
         let mut listed: Vec<usize> = listed.collect();
-        let open = listed
-            .iter()
-            .filter(|&&index| self.servers[index].blocked_until <= now);
-        let open = open.count();
+        let open = listed.iter().filter(|&&index| !is_out(index)).count();
         if open * 2 >= listed.len() {
-            listed.retain(|&index| self.servers[index].blocked_until <= now);
+            listed.retain(|&index| !is_out(index));
         } else {
-            listed.sort_by(|&a, &b| {
-                let key = |index: usize| {
-                    let server = &self.servers[index];
-                    (server.blocked_until > now, server.misses)
-                };
-                key(a).cmp(&key(b))
-            });
+            listed.sort_by_key(|&index| (is_out(index), self.servers[index].misses));
             listed.truncate(listed.len().div_ceil(2).max(open));
         }
         listed
@@ -625,8 +655,12 @@
             };
             let waiting = self.waiting.remove(index);
             self.start(server, &waiting, now);
-            turn.starts
-                .push((waiting.ticket, self.servers[server].id.clone()));
+            let expected = self.mean_us(waiting.ask.class) * self.servers[server].pace(now);
+            turn.starts.push(Start {
+                ticket: waiting.ticket,
+                endpoint: self.servers[server].id.clone(),
+                expected: Duration::from_micros(expected as u64),
+            });
         }
         turn
     }
@@ -644,7 +678,9 @@
             late.push(waiting);
         }
         for mut waiting in late {
-            let limit = waiting.since.after(waiting.deadline.since(waiting.since) / WAIT_DIVISOR);
+            let limit = waiting
+                .since
+                .after(waiting.deadline.since(waiting.since) / WAIT_DIVISOR);
             let is_spare = self.load < SPARE_LOAD && waiting.ask.key.is_none();
             if !waiting.is_late && limit > now && is_spare {
                 waiting.is_late = true;
@@ -686,15 +722,15 @@
             free.retain(|&index| !is_avoided(index));
         }
         let is_large = ask.bytes >= LARGE_BODY;
-        let has_own = usable.iter().any(|&index| self.servers[index].zone == ask.zone);
+        let has_own = usable
+            .iter()
+            .any(|&index| self.servers[index].zone == ask.zone);
         if is_large && has_own && now.since(waiting.since) < OWN_ZONE_WAIT {
             free.retain(|&index| self.servers[index].zone == ask.zone);
         }
         let mean = self.mean_us(ask.class);
         let cost = |&index: &usize| self.servers[index].cost(ask, waiting.ticket.asker, mean, now);
-        let best = free
-            .into_iter()
-            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let best = free.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
         best.map_or(Choice::Wait, Choice::Server)
     }
 
@@ -769,7 +805,10 @@
     }
 
     fn hear(&mut self, asker: SocketAddr, now: Instant) {
-        match self.askers.binary_search_by_key(&asker, |&(asker, _)| asker) {
+        match self
+            .askers
+            .binary_search_by_key(&asker, |&(asker, _)| asker)
+        {
             Ok(index) => self.askers[index].1 = now,
             Err(index) => self.askers.insert(index, (asker, now)),
         }
@@ -838,7 +877,11 @@
 
 impl Waiting {
     fn order(&self) -> (u8, bool, Instant) {
-        let by = if self.is_late { self.deadline } else { self.goal };
+        let by = if self.is_late {
+            self.deadline
+        } else {
+            self.goal
+        };
         (self.ask.rank, self.is_late, by)
     }
 }
@@ -859,6 +902,7 @@
             misses: 0,
             blocked_until: Instant::default(),
             used_at: now,
+            answered_at: now,
             warm: Vec::new(),
             load: 0.0,
             load_at: now,
@@ -881,6 +925,15 @@
         slowness * self.cold_factor(now)
     }
 
+    /// Tells whether all that runs here takes far longer than it should.
+    fn is_stuck(&self, mean_us: f64, now: Instant) -> bool {
+        let limit = (mean_us * self.pace(now) * STUCK_FACTOR).max(STUCK_MIN_US);
+        let is_old = |running: &Running| {
+            now.since(running.since.max(self.answered_at)).as_micros() as f64 > limit
+        };
+        !self.running.is_empty() && self.running.iter().all(is_old)
+    }
+
     fn offer(&mut self, work: f64, now: Instant) -> f64 {
         offer(&mut self.load, &mut self.load_at, work, now)
     }
@@ -892,9 +945,8 @@
         if self.zone != ask.zone {
             cost += ZONE_COST_US + ZONE_COST_US_PER_BYTE * f64::from(ask.bytes);
         }
-        let is_warm = |&(warm, at): &(SocketAddr, Instant)| {
-            warm == asker && now.since(at) < WARM_FOR
-        };
+        let is_warm =
+            |&(warm, at): &(SocketAddr, Instant)| warm == asker && now.since(at) < WARM_FOR;
         if self.warm.iter().any(is_warm) {
             cost -= WARM_BONUS_US;
         }
@@ -907,14 +959,17 @@
     fn judge(&mut self, outcome: Outcome, now: Instant) {
         match outcome {
             Outcome::Answered => {
+                self.answered_at = now;
                 self.misses = 0;
                 self.failures -= self.failures * FAILURE_WEIGHT;
             }
-            Outcome::Unreachable => {
+            Outcome::Unreachable | Outcome::Silent => {
                 self.misses += 1;
                 self.block(now);
             }
-            Outcome::Failed | Outcome::Shed => {
+            // Turned away at no cost: others are preferred, none is left out.
+            Outcome::Shed => self.failures += (1.0 - self.failures) * FAILURE_WEIGHT,
+            Outcome::Failed => {
                 self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
                 if self.failures > FAILURE_LIMIT {
                     self.misses += 1;
--- a/src/core/retry.rs
+++ b/src/core/retry.rs
@@ -10,14 +10,12 @@
 /// Parts into which the window is divided.
 const BUCKETS: usize = 10;
 
-/// Part of the allowance that is used, in hundredths.
-///
-/// What is left covers two dispatchers of one service for a moment, and
-/// repeats that VMs make without asking one.
-const USED_PERCENT: u64 = 60;
+/// Part of the allowance that the first dispatcher of a service uses, in hundredths.
+const USED_PERCENT: u64 = 78;
 
-/// The same in the first window, as what was repeated before is not known.
-const USED_PERCENT_NEW: u64 = 25;
+/// Part that any other one uses, and the first one in its first window, as what
+/// was repeated before it began is not known to it.
+const USED_PERCENT_OTHER: u64 = 18;
 
 /// Bound on the repeats of one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -74,7 +72,9 @@
     }
 
     /// Counts a repeat if the bound allows one.
-    pub fn take(&mut self, now: Instant) -> bool {
+    ///
+    /// `is_first` says whether this is the first dispatcher of the service.
+    pub fn take(&mut self, is_first: bool, now: Instant) -> bool {
         let slot = self.bucket(now).slot;
         let recent = self
             .buckets
@@ -85,7 +85,11 @@
         });
         let allowed = firsts * self.bound.share_millis / 1000 + self.bound.slack;
         let is_new = now.since(self.since) < self.bound.window;
-        let percent = if is_new { USED_PERCENT_NEW } else { USED_PERCENT };
+        let percent = if is_new || !is_first {
+            USED_PERCENT_OTHER
+        } else {
+            USED_PERCENT
+        };
         if (repeats + 1) * 100 > allowed * percent {
             return false;
         }
--- a/src/core/spread.rs
+++ b/src/core/spread.rs
@@ -225,9 +225,8 @@
 
     /// Gives endpoints without keys an even part of those of the fullest.
     fn fill_empty(&mut self, limit: usize) {
-        let has_keys = |round: &Self, index: usize| {
-            round.slices.iter().any(|slice| slice.server == index)
-        };
+        let has_keys =
+            |round: &Self, index: usize| round.slices.iter().any(|slice| slice.server == index);
         let empty: Vec<usize> = self
             .targets()
             .filter(|&index| !has_keys(self, index))
@@ -327,9 +326,9 @@
             return false;
         }
         let wanted = self.servers[source].capacity * FASTER;
-        let faster = self.targets().filter(|&index| {
-            self.servers[index].capacity >= wanted && self.load(index) < 1.0
-        });
+        let faster = self
+            .targets()
+            .filter(|&index| self.servers[index].capacity >= wanted && self.load(index) < 1.0);
         let fastest = faster.max_by(|&a, &b| {
             let capacity = |index: usize| self.servers[index].capacity - self.loads[index] / 2.0;
             capacity(a).total_cmp(&capacity(b))
--- a/src/edge/lease.rs
+++ b/src/edge/lease.rs
@@ -43,8 +43,7 @@
 pub type Open = Box<dyn Fn(&Endpoint) -> Boxed<Result<Channel, Answer>> + Send + Sync>;
 
 /// Sends a release and waits for the work on the keys to end.
-pub type SendRelease =
-    Box<dyn Fn(&Endpoint, Release, Duration) -> Boxed<Answer> + Send + Sync>;
+pub type SendRelease = Box<dyn Fn(&Endpoint, Release, Duration) -> Boxed<Answer> + Send + Sync>;
 
 /// An open dialect of orders.
 pub struct Handle {
--- a/src/kernel/line.rs
+++ b/src/kernel/line.rs
@@ -120,7 +120,9 @@
             let whole = body.collect().await.map_err(|_| Error::Silent)?;
             Ok(Response::from_parts(parts, whole.to_bytes()))
         };
-        let response = timeout(span, exchange).await.unwrap_or(Err(Error::Silent))?;
+        let response = timeout(span, exchange)
+            .await
+            .unwrap_or(Err(Error::Silent))?;
         let closes = response
             .headers()
             .get_all(CONNECTION)
--- a/src/kernel/pool.rs
+++ b/src/kernel/pool.rs
@@ -77,6 +77,8 @@
     Busy,
     /// the connection broke before the answer came
     Broken,
+    /// the connection fell silent before the answer came
+    Silent,
     /// no answer came in time
     Late,
 }
@@ -308,7 +310,14 @@
                 Some(Err(mut failure)) => match failure.take_message() {
                     Some(unsent) if reused => request = unsent,
                     Some(unsent) => return Err(Rejected::unsent(Failure::Unreachable, unsent)),
-                    None => return Err(Rejected::sent(Failure::Broken, reused)),
+                    None => {
+                        let failure = if is_timeout(failure.error()) {
+                            Failure::Silent
+                        } else {
+                            Failure::Broken
+                        };
+                        return Err(Rejected::sent(failure, reused));
+                    }
                 },
             }
         }
@@ -403,6 +412,19 @@
     }
 }
 
+/// Tells whether a connection ended since sent bytes stayed unconfirmed.
+fn is_timeout(error: &hyper::Error) -> bool {
+    let mut cause = std::error::Error::source(error);
+    while let Some(inner) = cause {
+        let io = inner.downcast_ref::<io::Error>();
+        if io.is_some_and(|io| io.kind() == io::ErrorKind::TimedOut) {
+            return true;
+        }
+        cause = inner.source();
+    }
+    false
+}
+
 fn left(end: Instant) -> Duration {
     end.saturating_duration_since(Instant::now())
 }
--- a/src/ops/route.rs
+++ b/src/ops/route.rs
@@ -55,7 +55,9 @@
         println!("rhubarbpick-platform {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let path = matches.opt_str("settings").or_else(|| env::var(variable).ok());
+    let path = matches
+        .opt_str("settings")
+        .or_else(|| env::var(variable).ok());
     let Some(path) = path else {
         eprintln!("rhubarbpick-platform: no settings; set {variable} or give --settings FILE");
         return ExitCode::from(WRONG);
--- a/src/router/asks.rs
+++ b/src/router/asks.rs
@@ -71,7 +71,7 @@
 
 enum Reply {
     Queued,
-    Go(Box<str>),
+    Go(Box<str>, Duration),
     No(Reason, u32),
     Elsewhere,
 }
@@ -112,7 +112,14 @@
     pub fn deliver(&self, from: SocketAddr, datagram: Datagram) {
         let (number, reply) = match datagram {
             Datagram::Queued { number } => (number, Reply::Queued),
-            Datagram::Go { number, endpoint } => (number, Reply::Go(endpoint)),
+            Datagram::Go {
+                number,
+                endpoint,
+                expected_us,
+            } => (
+                number,
+                Reply::Go(endpoint, Duration::from_micros(expected_us)),
+            ),
             Datagram::No {
                 number,
                 reason,
@@ -171,6 +178,8 @@
 pub struct Permit {
     /// Endpoint.
     pub endpoint: Box<str>,
+    /// How long the endpoint is expected to take.
+    pub expected: Duration,
     /// Whether a dispatcher gave it.
     pub is_dispatched: bool,
     state: Arc<State>,
@@ -260,7 +269,7 @@
 }
 
 /// Returns the VMs that may dispatch for a service, the first choice first.
-fn desks(state: &State, view: &View, service: &str) -> Vec<SocketAddr> {
+pub fn desks(state: &State, view: &View, service: &str) -> Vec<SocketAddr> {
     let mut desks = Vec::new();
     if view.is_keyed(service) {
         let claim = view.table(service).map(|(_, table)| &table.claim);
@@ -337,11 +346,12 @@
                     tries = 0;
                     wait = QUEUED_WAIT;
                 }
-                Reply::Go(endpoint) => {
+                Reply::Go(endpoint, expected) => {
                     waiter.is_settled = true;
                     state.asks.open_permit(desk, service, number);
                     return Some(Answer::Go(Permit {
                         endpoint,
+                        expected,
                         is_dispatched: true,
                         state: Arc::clone(state),
                         service: service.into(),
@@ -385,7 +395,8 @@
                 .map(|listed| &listed.endpoint)
                 .filter(|endpoint| !endpoint.is_leaving && !ask.avoid.contains(&endpoint.id));
             let least = open.min_by_key(|endpoint| {
-                let noise = xxhash_rust::xxh3::xxh3_64_with_seed(endpoint.id.as_bytes(), ask.left_us);
+                let noise =
+                    xxhash_rust::xxh3::xxh3_64_with_seed(endpoint.id.as_bytes(), ask.left_us);
                 (busy(&endpoint.id), endpoint.zone != ask.zone, noise)
             });
             least.map(|endpoint| endpoint.id.clone())
@@ -404,6 +415,7 @@
     drop(alone);
     Answer::Go(Permit {
         endpoint,
+        expected: Duration::from_micros(ask.goal_us),
         is_dispatched: false,
         state: Arc::clone(state),
         service: service.into(),
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -8,6 +8,7 @@
 use crate::{
     core::{
         manifest::Repeat,
+        permit::Outcome,
         roster::Endpoint, //
     },
     kernel::{
@@ -65,12 +66,12 @@
 pub const KEEP: Keep = Keep {
     connections: 512,
     idle: Duration::from_millis(7_500),
-    silence: Some(Duration::from_millis(1_000)),
+    silence: Some(Duration::from_millis(700)),
     connect: Duration::from_millis(300),
 };
 
 /// Longest idle time of a connection for a request that may run only once.
-const FRESH_ONCE: Duration = Duration::from_millis(4_000);
+const FRESH_ONCE: Duration = Duration::from_millis(6_000);
 
 /// The same while endpoints of the service drop idle connections.
 const FRESH_WARY: Duration = Duration::from_millis(150);
@@ -101,10 +102,32 @@
     Unsent(&'static str, Payload),
     /// The endpoint may have run the request; its answer did not come, or not whole.
     Broken(&'static str),
+    /// The endpoint took the request and the connection fell silent.
+    Silent,
     /// Time ran out.
     Late,
 }
 
+impl Try {
+    /// What the dispatcher is told.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::Answered(response) if response.status().is_server_error() => Outcome::Failed,
+            Self::Answered(_) => Outcome::Answered,
+            Self::Shed => Outcome::Shed,
+            Self::NotHolder => Outcome::NotHolder,
+            Self::Unsent(..) => Outcome::Unreachable,
+            Self::Broken(_) => Outcome::Failed,
+            Self::Silent | Self::Late => Outcome::Silent,
+        }
+    }
+
+    /// Tells whether the endpoint answered well.
+    pub fn is_good(&self) -> bool {
+        matches!(self, Self::Answered(response) if !response.status().is_server_error())
+    }
+}
+
 /// A request as it is sent.
 pub struct Job<'a> {
     /// Head of the caller's request.
@@ -159,6 +182,7 @@
                     Try::Unsent(why, payload)
                 }
                 (None, Failure::Late) => Try::Late,
+                (None, Failure::Silent) => Try::Silent,
                 (None, _) => Try::Broken(why),
             };
         }
@@ -174,7 +198,8 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Try::NotHolder;
     }
-    if headers.contains_key(&fields.not_run) && (is_own || !headers.contains_key(&fields.request_id))
+    if headers.contains_key(&fields.not_run)
+        && (is_own || !headers.contains_key(&fields.request_id))
     {
         return Try::Shed;
     }
@@ -233,7 +258,10 @@
     *request.headers_mut() = job.parts.headers.clone();
     let headers = request.headers_mut();
     let deadline = left(job.end).as_millis().to_string();
-    headers.insert(&state.fields.deadline, HeaderValue::from_str(&deadline).ok()?);
+    headers.insert(
+        &state.fields.deadline,
+        HeaderValue::from_str(&deadline).ok()?,
+    );
     headers.insert(
         &state.fields.target,
         HeaderValue::from_str(&endpoint.id).ok()?,
@@ -252,6 +280,7 @@
         Failure::Unreachable => "unreachable",
         Failure::Busy => "connections",
         Failure::Broken => "broken",
+        Failure::Silent => "silent",
         Failure::Late => "late",
     }
 }
--- a/src/router/desk.rs
+++ b/src/router/desk.rs
@@ -28,6 +28,7 @@
         runtime::sleep, //
     },
     router::{
+        asks,
         datagram::send,
         state::{
             State,
@@ -165,9 +166,13 @@
     inner.set_view(service, &view, now);
     inner.asked = now;
     if let Some(endpoint) = inner.desk.running_at(ticket) {
-        let endpoint = endpoint.into();
+        let go = Datagram::Go {
+            number,
+            endpoint: endpoint.into(),
+            expected_us: ask.goal_us,
+        };
         drop(inner);
-        send(state, from, Datagram::Go { number, endpoint });
+        send(state, from, go);
         return;
     }
     if let (Some(key), false) = (ask.key, ask.is_repeat) {
@@ -191,7 +196,7 @@
         },
     };
     drop(inner);
-    let is_decided = turn.starts.iter().any(|(other, _)| *other == ticket)
+    let is_decided = turn.starts.iter().any(|start| start.ticket == ticket)
         || turn.refusals.iter().any(|(other, _)| *other == ticket);
     if !is_decided {
         send(state, from, Datagram::Queued { number });
@@ -241,9 +246,13 @@
 
 /// Tells askers what was decided.
 pub fn tell(state: &Arc<State>, turn: Turn) {
-    for (ticket, endpoint) in turn.starts {
-        let number = ticket.number;
-        send(state, ticket.asker, Datagram::Go { number, endpoint });
+    for start in turn.starts {
+        let go = Datagram::Go {
+            number: start.ticket.number,
+            endpoint: start.endpoint,
+            expected_us: start.expected.as_micros() as u64,
+        };
+        send(state, start.ticket.asker, go);
     }
     for (ticket, refusal) in turn.refusals {
         send(state, ticket.asker, no(ticket.number, refusal));
@@ -271,6 +280,8 @@
             let mut inner = job.inner.lock().unwrap();
             let is_sweep = ticks.is_multiple_of(TICKS_PER_SWEEP);
             if is_sweep {
+                let first = asks::desks(&state, &view, &job.service).into_iter().next();
+                inner.desk.set_first(first == Some(state.socket.address));
                 inner.set_view(&job.service, &view, now);
                 inner.desk.sweep(now);
             }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -179,7 +179,9 @@
             state.age().as_millis(),
             view.endpoints.len(),
             view.members.len(),
-            view.manifest.as_ref().map_or(0, |manifest| manifest.version),
+            view.manifest
+                .as_ref()
+                .map_or(0, |manifest| manifest.version),
         );
         state.endpoints.sweep();
         let services = view.manifest.iter().flat_map(|manifest| &manifest.services);
--- a/src/router/peer.rs
+++ b/src/router/peer.rs
@@ -100,7 +100,11 @@
         }
     };
     future::or(news, end).await;
-    let since = if poll.copy == state.run { poll.number } else { 0 };
+    let since = if poll.copy == state.run {
+        poll.number
+    } else {
+        0
+    };
     let (number, objects) = state.changes(since);
     let reply = wire::State {
         copy: state.run,
--- a/src/router/planner.rs
+++ b/src/router/planner.rs
@@ -162,9 +162,10 @@
         None => Duration::ZERO,
         Some((_, old)) => {
             let members = &view.members;
-            let is_gone = members.iter().any(|member| {
-                member.name == old.claim.node && member.run > old.claim.run
-            }) || old.claim == table.claim;
+            let is_gone = members
+                .iter()
+                .any(|member| member.name == old.claim.node && member.run > old.claim.run)
+                || old.claim == table.claim;
             if is_gone {
                 Duration::ZERO
             } else {
@@ -223,7 +224,10 @@
                 }
             }
             Err(error) if is_unsure => {
-                log::info!("event=write_unsure service={} why=\"{error}\"", table.service);
+                log::info!(
+                    "event=write_unsure service={} why=\"{error}\"",
+                    table.service
+                );
                 return Err(Error::Unknown);
             }
             Err(error) => return Err(error),
@@ -261,7 +265,12 @@
                 "event=standstill service={service} ms={}",
                 now.since(last_tick).as_millis()
             );
-            job.inner.lock().unwrap().planner.as_mut().map(Planner::unconfirm);
+            job.inner
+                .lock()
+                .unwrap()
+                .planner
+                .as_mut()
+                .map(Planner::unconfirm);
         }
         last_tick = now;
         if is_lost(state, service, &job) {
@@ -306,12 +315,19 @@
         let Some(planner) = &inner.planner else {
             return;
         };
-        (planner.is_confirmed(now), planner.confirmed_age(now) > CONFIRM_AGE)
+        (
+            planner.is_confirmed(now),
+            planner.confirmed_age(now) > CONFIRM_AGE,
+        )
     };
     if is_confirmed && !is_old {
         return;
     }
-    let pause = if is_confirmed { STORE_LOST } else { WRITE_PAUSE };
+    let pause = if is_confirmed {
+        STORE_LOST
+    } else {
+        WRITE_PAUSE
+    };
     if now.since(*last_read) < pause {
         return;
     }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -16,10 +16,12 @@
             Ask,
             Outcome, //
         },
+        roster::Endpoint,
     },
     kernel::{
         clock,
-        http::Body, //
+        http::Body,
+        runtime::timeout, //
     },
     router::{
         asks,
@@ -36,7 +38,11 @@
         state::State, //
     },
 };
-use bytes::BytesMut;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use futures_lite::future;
 use http_body_util::BodyExt;
 use hyper::{
     body::{
@@ -58,6 +64,7 @@
     Response, //
 };
 use std::{
+    pin::pin,
     sync::{
         atomic::Ordering,
         Arc, //
@@ -89,6 +96,12 @@
 /// Time that has to be left for another try.
 const TRY_MIN: Duration = Duration::from_millis(30);
 
+/// A second endpoint is tried after so many times the expected time.
+const SECOND_FACTOR: u32 = 4;
+
+/// Least expected time that this is counted from.
+const SECOND_MIN: Duration = Duration::from_millis(50);
+
 /// Part of the time to drain after which a leaving endpoint gets no request.
 const DRAIN_PART: f64 = 0.6;
 
@@ -251,18 +264,7 @@
             Payload::Whole(bytes) => bytes.len() as u32,
             Payload::Stream(_) => u32::MAX / 1024,
         };
-        let ask = Ask {
-            class: work.class,
-            key: work.key,
-            rank: work.route.rank,
-            goal_us: left(work.goal_end).as_micros() as u64,
-            left_us: left(work.end).as_micros() as u64,
-            is_repeat: is_sent,
-            is_return: work.is_return,
-            bytes,
-            zone: state.settings.zone.clone(),
-            avoid: avoid.clone(),
-        };
+        let ask = work.ask(state, bytes, is_sent, avoid.clone());
         let permit = match asks::ask(state, work.service, ask).await {
             asks::Answer::Go(permit) => permit,
             asks::Answer::No(reason, after) => {
@@ -305,20 +307,14 @@
             end: work.end,
         };
         trail.tries += 1;
-        let tried = attempt::send(state, &job, endpoint, content).await;
+        let (tried, extra_runs) = send(state, work, &job, endpoint, content, permit).await;
+        runs += extra_runs;
         let may_again = trail.tries < TRIES_MAX && left(work.end) > TRY_MIN;
         match tried {
             Try::Answered(response) => {
-                let is_failure = response.status().is_server_error();
-                let outcome = if is_failure {
-                    Outcome::Failed
-                } else {
-                    Outcome::Answered
-                };
-                permit.end(outcome);
                 runs += 1;
                 trail.last = "answered";
-                let is_worth_another = is_failure
+                let is_worth_another = response.status().is_server_error()
                     && work.route.repeat.is_allowed()
                     && runs < work.route.attempts
                     && may_again;
@@ -331,7 +327,6 @@
                 is_sent = true;
             }
             Try::Shed => {
-                permit.end(Outcome::Shed);
                 trail.last = "shed";
                 if !may_again || kept.is_none() {
                     return Err(verdict.unwrap_or(retry("shed")));
@@ -341,7 +336,6 @@
                 is_sent = true;
             }
             Try::NotHolder => {
-                permit.end(Outcome::NotHolder);
                 trail.last = "not_holder";
                 if !may_again || kept.is_none() {
                     return Err(verdict.unwrap_or(retry("not_holder")));
@@ -350,7 +344,6 @@
                 is_sent = true;
             }
             Try::Unsent(why, back) => {
-                permit.end(Outcome::Unreachable);
                 trail.last = why;
                 if !may_again {
                     return Err(verdict.unwrap_or(retry(why)));
@@ -358,8 +351,11 @@
                 avoid.push(endpoint.id.clone());
                 payload = Some(back);
             }
-            Try::Broken(why) => {
-                permit.end(Outcome::Failed);
+            Try::Broken(_) | Try::Silent => {
+                let why = match tried {
+                    Try::Broken(why) => why,
+                    _ => "silent",
+                };
                 runs += 1;
                 trail.last = why;
                 verdict = Some(Reply::Unknown(why));
@@ -372,7 +368,6 @@
                 is_sent = true;
             }
             Try::Late => {
-                permit.end(Outcome::Failed);
                 trail.last = "late";
                 return Err(Reply::Late);
             }
@@ -380,6 +375,119 @@
     }
 }
 
+/// Sends a request under a permit; if the answer takes far longer than it
+/// should and the request may run twice, sends it to a second endpoint too.
+///
+/// Returns what came of it, and how many more endpoints may have run it.
+async fn send(
+    state: &Arc<State>,
+    work: &Work<'_>,
+    job: &Job<'_>,
+    endpoint: &Endpoint,
+    content: Payload,
+    permit: asks::Permit,
+) -> (Try, u32) {
+    let spare = match &content {
+        Payload::Whole(bytes) => Some(bytes.clone()),
+        Payload::Stream(_) => None,
+    };
+    let delay = second_delay(work, permit.expected);
+    let mut first = pin!(attempt::send(state, job, endpoint, content));
+    let (Some(delay), Some(spare)) = (delay, spare) else {
+        let tried = first.await;
+        permit.end(tried.outcome());
+        return (tried, 0);
+    };
+    let waited = timeout(delay, first.as_mut()).await;
+    if let Some(tried) = waited {
+        permit.end(tried.outcome());
+        return (tried, 0);
+    }
+    let mut second = pin!(send_second(state, work, job, endpoint, spare));
+    let race = future::or(async { Race::First(first.as_mut().await) }, async {
+        match second.as_mut().await {
+            Some(tried) => Race::Second(tried),
+            None => future::pending().await,
+        }
+    });
+    match race.await {
+        Race::First(tried) if tried.is_good() => {
+            permit.end(tried.outcome());
+            (tried, 1)
+        }
+        Race::First(tried) => {
+            permit.end(tried.outcome());
+            match second.await {
+                Some(other) if other.is_good() => (other, 1),
+                Some(_) => (tried, 1),
+                None => (tried, 0),
+            }
+        }
+        Race::Second(tried) if tried.is_good() => {
+            permit.end(Outcome::Dropped);
+            (tried, 1)
+        }
+        Race::Second(_) => {
+            let tried = first.await;
+            permit.end(tried.outcome());
+            (tried, 1)
+        }
+    }
+}
+
+enum Race {
+    First(Try),
+    Second(Try),
+}
+
+/// Returns after which time a second endpoint is tried, if that is allowed.
+fn second_delay(work: &Work<'_>, expected: Duration) -> Option<Duration> {
+    let may_run_twice = work.route.repeat.is_allowed() && work.route.attempts > 1;
+    if !may_run_twice {
+        return None;
+    }
+    let usual = expected.max(SECOND_MIN) * SECOND_FACTOR;
+    let latest = left(work.end).saturating_sub(expected * 3 / 2);
+    let delay = usual.min(latest);
+    (delay >= expected * 2).then_some(delay)
+}
+
+/// Asks for a second permit and sends the request again; `None` without a permit.
+async fn send_second(
+    state: &Arc<State>,
+    work: &Work<'_>,
+    job: &Job<'_>,
+    first: &Endpoint,
+    content: Bytes,
+) -> Option<Try> {
+    let ask = work.ask(state, content.len() as u32, true, vec![first.id.clone()]);
+    let asks::Answer::Go(permit) = asks::ask(state, work.service, ask).await else {
+        return None;
+    };
+    let view = state.view();
+    let listed = view.endpoint(&permit.endpoint)?;
+    let tried = attempt::send(state, job, &listed.endpoint, Payload::Whole(content)).await;
+    permit.end(tried.outcome());
+    Some(tried)
+}
+
+impl Work<'_> {
+    fn ask(&self, state: &State, bytes: u32, is_repeat: bool, avoid: Vec<Box<str>>) -> Ask {
+        Ask {
+            class: self.class,
+            key: self.key,
+            rank: self.route.rank,
+            goal_us: left(self.goal_end).as_micros() as u64,
+            left_us: left(self.end).as_micros() as u64,
+            is_repeat,
+            is_return: self.is_return,
+            bytes,
+            zone: state.settings.zone.clone(),
+            avoid,
+        }
+    }
+}
+
 fn find<'a>(manifest: &'a Manifest, parts: &Parts) -> Result<&'a Route, Reply> {
     let host = match parts.uri.authority() {
         Some(authority) => authority.as_str(),
@@ -400,7 +508,7 @@
 /// Reads a request body, whole if it is not too long to be kept.
 async fn payload(body: Incoming, end: Instant) -> Result<Payload, Reply> {
     if body.is_end_stream() {
-        return Ok(Payload::Whole(bytes::Bytes::new()));
+        return Ok(Payload::Whole(Bytes::new()));
     }
     let is_long = body.size_hint().lower() > KEPT_BODY as u64;
     if is_long {
@@ -409,7 +517,7 @@
     let mut body = body;
     let mut read = BytesMut::new();
     loop {
-        let frame = crate::kernel::runtime::timeout(left(end), body.frame()).await;
+        let frame = timeout(left(end), body.frame()).await;
         let frame = match frame {
             None => return Err(Reply::NotRun("body_late", TRY_MIN)),
             Some(None) => return Ok(Payload::Whole(read.freeze())),
@@ -452,8 +560,13 @@
         return;
     }
     let view = state.view();
-    let version = view.manifest.as_ref().map_or(0, |manifest| manifest.version);
-    let table = view.table(work.service).map_or(0, |(revision, _)| *revision);
+    let version = view
+        .manifest
+        .as_ref()
+        .map_or(0, |manifest| manifest.version);
+    let table = view
+        .table(work.service)
+        .map_or(0, |(revision, _)| *revision);
     let kind = match work.route.repeat {
         Repeat::Idempotent => "idempotent",
         Repeat::Once => "once",
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -113,10 +113,7 @@
     }
 
     /// Returns the endpoints of a service, sorted by identity.
-    pub fn endpoints_of<'a>(
-        &'a self,
-        service: &'a str,
-    ) -> impl Iterator<Item = &'a Listed> + 'a {
+    pub fn endpoints_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Listed> + 'a {
         let all = self.endpoints.iter();
         all.filter(move |listed| *listed.endpoint.service == *service)
     }
--- a/src/router/sync.rs
+++ b/src/router/sync.rs
@@ -118,7 +118,10 @@
     let mut failing: Option<Instant> = None;
     let mut grace_end: Option<Instant> = None;
     loop {
-        if !state.reads_store().is_some_and(|place| is_watched(kind, place)) {
+        if !state
+            .reads_store()
+            .is_some_and(|place| is_watched(kind, place))
+        {
             // A copy that was kept by others may be ahead: lists merge by revision.
             as_of = None;
             sleep(ROLE_PERIOD).await;
@@ -158,7 +161,10 @@
                     continue;
                 };
                 let lost = clock::now().since(since);
-                log::info!("event=store_back kind={kind:?} after_ms={}", lost.as_millis());
+                log::info!(
+                    "event=store_back kind={kind:?} after_ms={}",
+                    lost.as_millis()
+                );
                 if lost > OUTAGE && kind == Kind::Endpoint {
                     grace_end = Some(clock::now().after(LAPSE_GRACE));
                 }
--- a/src/router/wire.rs
+++ b/src/router/wire.rs
@@ -43,6 +43,8 @@
         number: u64,
         /// Endpoint.
         endpoint: Box<str>,
+        /// How long the endpoint is expected to take, in microseconds.
+        expected_us: u64,
     },
     /// The request gets no permit.
     No {
--- a/tests/suite/holding.rs
+++ b/tests/suite/holding.rs
@@ -121,7 +121,10 @@
         churn: 0.6,
         ..CALM
     };
-    assert!(is_found(Broken::ReleaseFence, late) || is_found(Broken::ReleaseFence, ALL), "release fence");
+    assert!(
+        is_found(Broken::ReleaseFence, late) || is_found(Broken::ReleaseFence, ALL),
+        "release fence"
+    );
 }
 
 #[test]
@@ -134,5 +137,8 @@
     let second = Table::claimed(Some(&first), "s", claim(2));
     assert_eq!(second.ranges.len(), first.ranges.len());
     assert!(second.last_fence > first.last_fence);
-    assert!(second.ranges.iter().all(|range| range.fence == second.last_fence));
+    assert!(second
+        .ranges
+        .iter()
+        .all(|range| range.fence == second.last_fence));
 }
--- a/tests/suite/holding/world.rs
+++ b/tests/suite/holding/world.rs
@@ -297,7 +297,8 @@
             seen: Vec::new(),
             slow,
         });
-        self.servers.sort_by(|a, b| a.endpoint.id.cmp(&b.endpoint.id));
+        self.servers
+            .sort_by(|a, b| a.endpoint.id.cmp(&b.endpoint.id));
     }
 
     fn push(&mut self, after: Duration, event: Event) {
@@ -377,7 +378,11 @@
             Event::Conflict(vm) => self.vms[vm].planner = None,
             Event::Rewrite(vm, table, known) => self.rewrite(vm, table, known),
             Event::LateWrite(table, revision) => {
-                if self.stored.as_ref().is_some_and(|stored| stored.1 == revision) {
+                if self
+                    .stored
+                    .as_ref()
+                    .is_some_and(|stored| stored.1 == revision)
+                {
                     self.revision += 1;
                     self.stored = Some((table, self.revision));
                 }
