--- a/src/core/spread.rs
+++ b/src/core/spread.rs
@@ -19,10 +19,10 @@
 const HEAT_SPAN_S: f64 = 1.5;
 
 /// Load below which an endpoint is left as it is, as a share of capacity.
-const CALM_LOAD: f64 = 0.45;
+const CALM_LOAD: f64 = 0.35;
 
 /// Difference in load that is worth a move.
-const GAP: f64 = 0.2;
+const GAP: f64 = 0.12;
 
 /// Share of an endpoint's load from which one key is taken to be all of it.
 const ALONE: f64 = 0.8;
@@ -31,7 +31,10 @@
 const FASTER: f64 = 1.2;
 
 /// Slices for each endpoint above which cold ones are joined.
-const SLICES_PER_SERVER: usize = 6;
+const SLICES_PER_SERVER: usize = 12;
+
+/// Slices into which all keys are cut at first, at least.
+const FIRST_SLICES: usize = 64;
 
 /// Load of a cold slice, as a share of an endpoint's capacity.
 const COLD: f64 = 0.02;
@@ -128,23 +131,31 @@
     pub server: usize,
 }
 
-/// Cuts all keys into one slice for each target, in proportion to capacity.
+/// Cuts all keys into slices for the targets, in proportion to capacity.
+///
+/// With few targets each gets several slices that lie apart, so that a busy
+/// area that is not known yet falls on more than one.
 pub fn cut(servers: &[Server]) -> Vec<Slice> {
+    let targets = servers.iter().filter(|server| server.is_target).count();
+    let rounds = FIRST_SLICES.div_ceil(targets.max(1));
     let total: f64 = servers.iter().map(Server::share).sum();
+    let width = KEYS as f64 / rounds as f64;
     let mut slices = Vec::new();
     let mut start = 0;
-    let mut sum = 0.0;
-    for (index, server) in servers.iter().enumerate() {
-        sum += server.share();
-        let end = (KEYS as f64 * sum / total).round() as usize;
-        if server.is_target && end > start {
-            slices.push(Slice {
-                from: start as u16,
-                to: (end - 1) as u16,
-                server: index,
-                is_settled: true,
-            });
-            start = end;
+    for round in 0..rounds {
+        let mut sum = 0.0;
+        for (index, server) in servers.iter().enumerate() {
+            sum += server.share();
+            let end = (width * (round as f64 + sum / total)).round() as usize;
+            if server.is_target && end > start {
+                slices.push(Slice {
+                    from: start as u16,
+                    to: (end - 1) as u16,
+                    server: index,
+                    is_settled: true,
+                });
+                start = end;
+            }
         }
     }
     slices
