--- a/src/core/spread.rs
+++ b/src/core/spread.rs
@@ -19,10 +19,10 @@
 const HEAT_SPAN_S: f64 = 1.5;
 
 /// Load below which an endpoint is left as it is, as a share of capacity.
-const CALM_LOAD: f64 = 0.35;
+const CALM_LOAD: f64 = 0.4;
 
 /// Difference in load that is worth a move.
-const GAP: f64 = 0.12;
+const GAP: f64 = 0.17;
 
 /// Share of an endpoint's load from which one key is taken to be all of it.
 const ALONE: f64 = 0.8;
@@ -36,6 +36,12 @@
 /// Slices into which all keys are cut at first, at least.
 const FIRST_SLICES: usize = 64;
 
+/// Capacity at which the felt load is the share of capacity, in requests a second.
+const USUAL_CAPACITY: f64 = 25.0;
+
+/// Exponent by which slowness is felt.
+const SLOW_WEIGHT: f64 = 0.5;
+
 /// Load of a cold slice, as a share of an endpoint's capacity.
 const COLD: f64 = 0.02;
 
@@ -162,6 +168,14 @@
 }
 
 impl Server {
+    /// Load as a share of capacity, weighed by how slow the endpoint is.
+    ///
+    /// At the same share a slow endpoint keeps its callers waiting longer.
+    fn felt(&self, rate: f64) -> f64 {
+        let capacity = self.capacity.max(f64::MIN_POSITIVE);
+        rate / capacity * (USUAL_CAPACITY / capacity).powf(SLOW_WEIGHT)
+    }
+
     fn share(&self) -> f64 {
         if self.is_target {
             self.capacity
@@ -175,7 +189,7 @@
 pub fn least(servers: &[Server], loads: &[f64], rate: f64) -> Option<usize> {
     let targets = (0..servers.len()).filter(|&index| servers[index].is_target);
     targets.min_by(|&a, &b| {
-        let load = |index: usize| (loads[index] + rate) / servers[index].capacity;
+        let load = |index: usize| servers[index].felt(loads[index] + rate);
         load(a).total_cmp(&load(b))
     })
 }
@@ -216,7 +230,7 @@
 
 impl Round<'_> {
     fn load(&self, server: usize) -> f64 {
-        self.loads[server] / self.servers[server].capacity.max(f64::MIN_POSITIVE)
+        self.servers[server].felt(self.loads[server])
     }
 
     fn targets(&self) -> impl Iterator<Item = usize> + '_ {
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -404,40 +404,39 @@
         return (tried, 0);
     }
     let mut second = pin!(send_second(state, work, job, endpoint, spare));
-    let race = future::or(async { Race::First(first.as_mut().await) }, async {
-        match second.as_mut().await {
-            Some(tried) => Race::Second(tried),
-            None => future::pending().await,
-        }
-    });
+    let race = future::or(
+        async { Race::First(first.as_mut().await) },
+        async { Race::Second(second.as_mut().await) },
+    );
     match race.await {
-        Race::First(tried) if tried.is_good() => {
-            permit.end(tried.outcome());
-            (tried, 1)
-        }
         Race::First(tried) => {
             permit.end(tried.outcome());
+            if tried.is_good() {
+                return (tried, 1);
+            }
             match second.await {
                 Some(other) if other.is_good() => (other, 1),
                 Some(_) => (tried, 1),
                 None => (tried, 0),
             }
         }
-        Race::Second(tried) if tried.is_good() => {
+        Race::Second(Some(tried)) if tried.is_good() => {
             permit.end(Outcome::Dropped);
             (tried, 1)
         }
-        Race::Second(_) => {
+        Race::Second(other) => {
             let tried = first.await;
             permit.end(tried.outcome());
-            (tried, 1)
+            (tried, u32::from(other.is_some()))
         }
     }
 }
 
+/// Which of two tries ended first.
 enum Race {
     First(Try),
-    Second(Try),
+    /// `None` if there was no permit for it.
+    Second(Option<Try>),
 }
 
 /// Returns after which time a second endpoint is tried, if that is allowed.
