--- a/src/core/permit.rs
+++ b/src/core/permit.rs
@@ -102,6 +102,14 @@
 /// Span in which the slowness of an endpoint without requests is forgotten, in microseconds.
 const FORGET_SPAN_US: f64 = 5_000_000.0;
 
+/// Times the expected service time that has to be left when a request is taken in.
+///
+/// Half of all requests take longer than expected.
+const SERVICE_RESERVE: f64 = 1.4;
+
+/// Part of the expected service time that has to be left when it is still waiting.
+const SERVICE_LEAST: f64 = 0.7;
+
 /// Part of the goal that is kept for the way to the caller.
 const GOAL_MARGIN: Duration = Duration::from_millis(10);
 
@@ -428,8 +436,9 @@
         let left = Duration::from_micros(ask.left_us);
         let goal = Duration::from_micros(ask.goal_us);
         let goal = now.after(goal.saturating_sub(GOAL_MARGIN));
+        let least = (self.mean_us(ask.class) * SERVICE_LEAST) as u64;
         let until = match judged {
-            Fit::InTime => goal,
+            Fit::InTime => Instant(goal.0.saturating_sub(least)).max(now),
             Fit::Late => now.after(left / WAIT_DIVISOR),
         };
         let waiting = Waiting {
@@ -486,6 +495,9 @@
         } else {
             excess.max(RETRY_OVERLOADED)
         };
+        // A caller returns within a part of its time or not at all.
+        let latest = Duration::from_micros(ask.left_us) / WAIT_DIVISOR;
+        let after = after.min(latest * 2 / 3);
         Err(self.refuse(Reason::Full, after))
     }
 
@@ -555,7 +567,7 @@
         let load = self.servers[index].offer(mean * pace / slots, now);
         Ok(Estimate {
             wait_us,
-            finish_us: wait_us + mean * pace,
+            finish_us: wait_us + mean * pace * SERVICE_RESERVE,
             load,
         })
     }
@@ -599,7 +611,7 @@
         let wait_us = (ahead_us + mean) / capacity.max(f64::MIN_POSITIVE);
         Ok(Estimate {
             wait_us,
-            finish_us: wait_us + mean * usual_pace,
+            finish_us: wait_us + mean * usual_pace * SERVICE_RESERVE,
             load,
         })
     }
--- a/src/core/spread.rs
+++ b/src/core/spread.rs
@@ -294,9 +294,6 @@
         if source == target || self.load(source) < CALM_LOAD || gap < GAP {
             return false;
         }
-        if self.move_hot_key(source) {
-            return true;
-        }
         let (from, to) = (self.servers[source].capacity, self.servers[target].capacity);
         // After a move of this size both are loaded alike.
         let wanted = gap * from * to / (from + to);
@@ -305,7 +302,7 @@
                 self.shift(first, last, target);
                 true
             }
-            None => false,
+            None => self.move_hot_key(source),
         }
     }
 
@@ -327,9 +324,11 @@
                 offer(from, slice.to);
             }
         }
-        // Less than a tenth of what is wanted is not worth a slice more.
+        // Less than a tenth of what is wanted is worth a slice more only where
+        // the endpoint cannot serve all.
         let (rate, from, to) = best?;
-        (rate >= wanted / 10.0).then_some((from, to))
+        let is_worth = rate >= wanted / 10.0 || self.load(server) >= 1.0;
+        is_worth.then_some((from, to))
     }
 
     /// Moves a key that is nearly all of an overloaded endpoint's load to a faster one.
@@ -338,9 +337,8 @@
             return false;
         }
         let own = self.slices.iter();
-        let single = own.filter(|slice| slice.server == source && slice.from == slice.to);
-        let hottest = single
-            .filter(|slice| slice.is_settled)
+        let hottest = own
+            .filter(|slice| slice.server == source && slice.is_settled)
             .max_by(|a, b| {
                 let rate = |slice: &Slice| self.heat.rate(slice.from, slice.to);
                 rate(a).total_cmp(&rate(b))
--- /dev/null
+++ b/tests/suite/copy.rs
@@ -0,0 +1,188 @@
+//! Copies of the store, the choice of VMs, routes, and the bound on repeats.
+
+use rhubarbpick::core::{
+    manifest::{
+        Dealer,
+        Host,
+        Limits,
+        Manifest,
+        Part,
+        Repeat,
+        Route, //
+    },
+    mirror::{
+        Kind,
+        Mirror,
+        Object,
+        Value, //
+    },
+    rank,
+    roster::Member,
+};
+
+fn object(name: &str, revision: u64, value: Option<Value>) -> Object {
+    Object {
+        kind: Kind::Endpoint,
+        name: name.into(),
+        revision,
+        value,
+    }
+}
+
+fn present(name: &str, revision: u64) -> Object {
+    object(name, revision, Some(Value::Unreadable))
+}
+
+#[test]
+fn an_older_object_never_replaces_a_newer_one() {
+    let mut mirror = Mirror::default();
+    assert!(mirror.merge(present("one", 5)));
+    assert!(!mirror.merge(present("one", 4)));
+    assert!(!mirror.merge(object("one", 5, None)));
+    assert!(mirror.merge(object("one", 6, None)));
+    assert!(!mirror.merge(present("one", 5)));
+    assert!(mirror.get(Kind::Endpoint, "one").is_none());
+    assert!(mirror.merge(present("one", 6)), "made anew at once");
+}
+
+#[test]
+fn a_stale_list_removes_nothing_that_is_newer() {
+    let mut mirror = Mirror::default();
+    mirror.merge(present("one", 5));
+    mirror.merge(present("two", 9));
+    mirror.merge_list(Kind::Endpoint, Vec::new(), 7, true);
+    assert!(mirror.get(Kind::Endpoint, "one").is_none());
+    assert!(mirror.get(Kind::Endpoint, "two").is_some());
+}
+
+#[test]
+fn a_list_after_an_outage_removes_nothing() {
+    let mut mirror = Mirror::default();
+    mirror.merge(present("one", 5));
+    mirror.merge_list(Kind::Endpoint, vec![present("two", 8)], 9, false);
+    assert!(mirror.get(Kind::Endpoint, "one").is_some());
+}
+
+#[test]
+fn changes_are_passed_on_once() {
+    let mut mirror = Mirror::default();
+    mirror.merge(present("one", 5));
+    let known = mirror.number();
+    mirror.merge(present("two", 6));
+    let news = mirror.since(known);
+    assert_eq!(news.len(), 1);
+    assert_eq!(&*news[0].name, "two");
+    assert!(mirror.since(mirror.number()).is_empty());
+}
+
+fn member(name: &str, zone: &str, cpu_millis: u32) -> Member {
+    Member {
+        name: name.into(),
+        run: 1,
+        peers: "10.0.0.1:1".parse().unwrap(),
+        datagrams: "10.0.0.1:2".parse().unwrap(),
+        zone: zone.into(),
+        cpu_millis,
+    }
+}
+
+#[test]
+fn relays_are_large_and_in_different_zones() {
+    let mut members = Vec::new();
+    for index in 0..12 {
+        let zone = ["a", "b", "c", "d"][index % 4];
+        let cpu = if index < 8 { 500 } else { 100 };
+        members.push(member(&format!("vm-{index}"), zone, cpu));
+    }
+    let relays = rank::relays(&members, 3, |_| true);
+    let mut zones: Vec<&str> = relays.iter().map(|relay| &*relay.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    assert_eq!(zones.len(), 3);
+    assert!(relays.iter().all(|relay| relay.cpu_millis == 500));
+    let lost = relays[0].name.clone();
+    let others = rank::relays(&members, 3, |member| member.name != lost);
+    assert_eq!(others[0].name, relays[1].name, "the others keep their places");
+}
+
+#[test]
+fn a_member_that_goes_moves_only_its_own_jobs() {
+    let members: Vec<Member> = (0..10)
+        .map(|index| member(&format!("vm-{index}"), "a", 200))
+        .collect();
+    for job in ["one", "two", "three", "four"] {
+        let first = rank::order(&members, job)[0].name.clone();
+        let left: Vec<Member> = members
+            .iter()
+            .filter(|member| member.name != first && *member.name != *"vm-3")
+            .cloned()
+            .collect();
+        if *first != *"vm-3" {
+            let rest: Vec<Member> = members
+                .iter()
+                .filter(|member| *member.name != *"vm-3")
+                .cloned()
+                .collect();
+            assert_eq!(rank::order(&rest, job)[0].name, first);
+        }
+        assert_ne!(rank::order(&left, job)[0].name, first);
+    }
+}
+
+fn route(prefix: &str) -> Route {
+    Route {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        timeout_ms: 1_000,
+        goal_ms: 300,
+        rank: 1,
+        attempts: 2,
+        parts: Vec::new(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let mut manifest = Manifest {
+        version: 1,
+        services: Vec::new(),
+        hosts: vec![
+            Host {
+                name: "two.example".into(),
+                routes: vec![route("/")],
+            },
+            Host {
+                name: "one.example".into(),
+                routes: vec![route("/a/"), route("/a/b/")],
+            },
+        ],
+        limits: Limits {
+            head_bytes: 1,
+            body_bytes: 1,
+            idle_ms: 1,
+        },
+    };
+    manifest.sort();
+    let name = |host, path| manifest.route(host, path).map(|route| &*route.name);
+    assert_eq!(name("one.example", "/a/b/c"), Some("/a/b/"));
+    assert_eq!(name("one.example:8080", "/a/c"), Some("/a/"));
+    assert_eq!(name("one.example", "/ab"), None);
+    assert_eq!(name("two.example", "/x"), Some("/"));
+    assert_eq!(name("other.example", "/a/b/"), None);
+}
+
+#[test]
+fn parts_get_their_share_of_any_run_of_requests() {
+    let part = |weight| Part {
+        service: "s".into(),
+        weight,
+    };
+    let parts = [part(90), part(10), part(0)];
+    let mut dealer = Dealer::new(&parts, 37);
+    let mut counts = [0; 3];
+    for _ in 0..300 {
+        counts[dealer.next(&parts).unwrap()] += 1;
+    }
+    assert_eq!(counts, [270, 30, 0]);
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,13 +2,16 @@
 
 mod admin;
 mod budget;
+mod copy;
 mod explore;
 mod holder;
 mod holding;
 mod overload;
 mod ownership;
+mod permit;
 mod plan;
 mod request_path;
+mod spread;
 mod support;
 mod ticket;
 mod wire;
--- /dev/null
+++ b/tests/suite/permit.rs
@@ -0,0 +1,351 @@
+//! Permits under load: what callers get at a crest, at hot keys and in faults.
+//!
+//! The load is played in simulated time against endpoints with two slots; the
+//! checks are on what callers get.
+
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
+use rhubarbpick::core::{
+    permit::{
+        Ask,
+        Desk,
+        Outcome,
+        Place,
+        Reason,
+        Ticket, //
+    },
+    retry::Bound,
+    roster::Endpoint,
+    time::Instant,
+};
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    time::Duration, //
+};
+
+const BOUND: Bound = Bound {
+    share_millis: 200,
+    slack: 56,
+    window: Duration::from_secs(10),
+};
+
+/// Response time that is aimed at.
+const GOAL: Duration = Duration::from_millis(400);
+
+/// Time that callers wait in all.
+const DEADLINE: Duration = Duration::from_millis(2_500);
+
+/// Mean time that an endpoint of usual speed needs.
+const WORK: Duration = Duration::from_millis(100);
+
+fn endpoint(index: usize, zone: &str) -> Endpoint {
+    Endpoint {
+        id: format!("i-{index:02}").into(),
+        service: "s".into(),
+        address: format!("10.0.0.{}:80", index + 1).parse().unwrap(),
+        zone: zone.into(),
+        slots: 2,
+        is_leaving: false,
+        cold_ms: 0,
+        born: 1,
+    }
+}
+
+fn desk(endpoints: &[Endpoint], now: Instant) -> Desk {
+    let mut desk = Desk::new(BOUND, now);
+    desk.set_first(true);
+    desk.set_endpoints(endpoints.iter().map(|endpoint| (endpoint, now)), now);
+    desk
+}
+
+fn ask() -> Ask {
+    Ask {
+        class: 1,
+        key: None,
+        rank: 1,
+        goal_us: GOAL.as_micros() as u64,
+        left_us: DEADLINE.as_micros() as u64,
+        is_repeat: false,
+        is_return: false,
+        bytes: 0,
+        zone: "a".into(),
+        avoid: Vec::new(),
+    }
+}
+
+fn ticket(number: u64) -> Ticket {
+    Ticket {
+        asker: "10.1.0.1:7000".parse().unwrap(),
+        number,
+    }
+}
+
+fn nowhere(_: u16) -> Place<'static> {
+    Place::Nowhere(Duration::from_secs(1))
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    End(u64),
+    Tick,
+}
+
+/// One caller of the played load.
+#[derive(Clone, Debug, Default)]
+struct Caller {
+    born: Instant,
+    refusals: u32,
+    served: Option<Duration>,
+    was_refused_while_idle: bool,
+    is_failed: bool,
+}
+
+/// Plays callers that come at `rate(second)` a second and return once when told to.
+fn play(
+    speeds: &[f64],
+    seconds: f64,
+    rate: impl Fn(f64) -> f64,
+    seed: u64,
+    key: Option<u16>,
+) -> Vec<Caller> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let endpoints: Vec<Endpoint> = (0..speeds.len())
+        .map(|index| endpoint(index, "a"))
+        .collect();
+    let mut now = Instant(1_000_000);
+    let start = now;
+    let mut desk = desk(&endpoints, now);
+    let locate = |_: u16| Place::At("i-00");
+    let mut queue = BinaryHeap::new();
+    let mut callers: Vec<Caller> = Vec::new();
+    let mut at = 0.0;
+    while at < seconds {
+        at += -rng.random::<f64>().max(1e-9).ln() / rate(at);
+        callers.push(Caller {
+            born: start.after(Duration::from_secs_f64(at)),
+            ..Caller::default()
+        });
+        let index = callers.len() - 1;
+        queue.push(Reverse((callers[index].born, Event::Arrive(index))));
+    }
+    queue.push(Reverse((start, Event::Tick)));
+    let mut running: Vec<(u64, usize, Instant)> = Vec::new();
+    let mut number = 0;
+    let mut numbers: Vec<usize> = vec![0];
+    while let Some(Reverse((time, event))) = queue.pop() {
+        now = time;
+        let mut refusals = Vec::new();
+        match event {
+            Event::Tick => {
+                if now.since(start) < Duration::from_secs_f64(seconds + 5.0) {
+                    queue.push(Reverse((now.after(Duration::from_millis(15)), Event::Tick)));
+                }
+            }
+            Event::Arrive(caller) => {
+                number += 1;
+                numbers.push(caller);
+                let spent = now.since(callers[caller].born);
+                let asked = Ask {
+                    key,
+                    goal_us: GOAL.saturating_sub(spent).as_micros() as u64,
+                    left_us: DEADLINE.saturating_sub(spent).as_micros() as u64,
+                    is_return: callers[caller].refusals > 0,
+                    ..ask()
+                };
+                if let Err(refusal) = desk.arrive(ticket(number), asked, &locate, now) {
+                    if desk.running() < speeds.len() * 2 && key.is_none() {
+                        callers[caller].was_refused_while_idle = true;
+                    }
+                    refusals.push((number, refusal));
+                }
+            }
+            Event::End(done) => {
+                let place = running.iter().position(|&(other, _, _)| other == done);
+                let (_, caller, since) = running.swap_remove(place.unwrap());
+                desk.end(ticket(done), Outcome::Answered, now.since(since), now);
+                callers[caller].served = Some(now.since(callers[caller].born));
+            }
+        }
+        let turn = desk.turn(&locate, now);
+        refusals.extend(turn.refusals.iter().map(|(ticket, refusal)| (ticket.number, *refusal)));
+        for start in turn.starts {
+            let index: usize = start.endpoint[2..].parse().unwrap();
+            let work = WORK.mul_f64(rng.random_range(0.5..1.5) / speeds[index]);
+            let done = start.ticket.number;
+            running.push((done, numbers[done as usize], now));
+            queue.push(Reverse((now.after(work), Event::End(done))));
+        }
+        for (refused, refusal) in refusals {
+            let index = numbers[refused as usize];
+            let caller = &mut callers[index];
+            caller.refusals += 1;
+            let left = DEADLINE.saturating_sub(now.since(caller.born));
+            if caller.refusals > 1 || refusal.retry_after > left / 3 {
+                caller.is_failed = true;
+                continue;
+            }
+            let back = now.after(refusal.retry_after);
+            queue.push(Reverse((back, Event::Arrive(index))));
+        }
+    }
+    callers
+}
+
+fn share(callers: &[Caller], is_so: impl Fn(&Caller) -> bool) -> f64 {
+    let count = callers.iter().filter(|caller| is_so(caller)).count();
+    count as f64 / callers.len().max(1) as f64
+}
+
+fn in_time(caller: &Caller) -> bool {
+    caller.served.is_some_and(|took| took <= GOAL)
+}
+
+/// Capacity of endpoints of these speeds, in requests a second.
+fn capacity(speeds: &[f64]) -> f64 {
+    speeds.iter().sum::<f64>() * 2.0 / WORK.as_secs_f64()
+}
+
+const SPEEDS: [f64; 8] = [0.6, 1.0, 1.4, 0.6, 1.0, 1.4, 1.0, 1.0];
+
+#[test]
+fn at_ordinary_load_nearly_all_are_served_in_time() {
+    for seed in 0..5 {
+        let callers = play(&SPEEDS, 10.0, |_| capacity(&SPEEDS) * 0.6, seed, None);
+        assert!(share(&callers, in_time) >= 0.97, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_crest_costs_no_more_than_what_exceeds_capacity() {
+    // Four seconds at one and a half times capacity.
+    for seed in 0..5 {
+        let rate = |second: f64| {
+            let is_crest = (3.0..7.0).contains(&second);
+            capacity(&SPEEDS) * if is_crest { 1.5 } else { 0.5 }
+        };
+        let callers = play(&SPEEDS, 11.0, rate, seed, None);
+        let crest: Vec<Caller> = callers
+            .iter()
+            .filter(|caller| {
+                let at = caller.born.since(Instant(1_000_000)).as_secs_f64();
+                (3.0..7.0).contains(&at)
+            })
+            .cloned()
+            .collect();
+        // Two in three can be served; what a queue of any order loses is a tenth of that.
+        let served = share(&crest, in_time);
+        assert!(served >= 2.0 / 3.0 * 0.9, "seed {seed}: {served}");
+        let idle = share(&callers, |caller| caller.was_refused_while_idle);
+        assert!(idle <= 0.005, "seed {seed}: {idle} refused beside free slots");
+    }
+}
+
+#[test]
+fn refused_callers_that_return_when_there_is_room_are_served() {
+    for seed in 0..5 {
+        // A short crest, so that those who are refused return to free endpoints.
+        let rate = |second: f64| {
+            let is_crest = (3.0..4.5).contains(&second);
+            capacity(&SPEEDS) * if is_crest { 2.0 } else { 0.3 }
+        };
+        let callers = play(&SPEEDS, 8.0, rate, seed, None);
+        let refused: Vec<Caller> = callers
+            .iter()
+            .filter(|caller| caller.refusals > 0)
+            .cloned()
+            .collect();
+        let served = share(&refused, |caller| caller.served.is_some());
+        assert!(refused.len() > 5, "seed {seed}: the load refuses nobody");
+        assert!(served >= 0.8, "seed {seed}: {served} of {}", refused.len());
+    }
+}
+
+#[test]
+fn a_hot_key_keeps_its_owner_busy_with_requests_that_are_in_time() {
+    // The owner has speed 1.0; a key is asked for at twice what it can serve.
+    let speeds = [1.0];
+    for seed in 0..5 {
+        let callers = play(&speeds, 8.0, |_| capacity(&speeds) * 2.0, seed, Some(7));
+        let served = share(&callers, in_time);
+        assert!(served >= 0.5 * 0.85, "seed {seed}: {served}");
+    }
+}
+
+#[test]
+fn a_refusal_for_want_of_an_owner_says_when_it_comes_back() {
+    let now = Instant(1_000_000);
+    let mut desk = desk(&[endpoint(0, "a")], now);
+    let asked = Ask {
+        key: Some(9),
+        ..ask()
+    };
+    let refusal = desk.arrive(ticket(1), asked, &nowhere, now).unwrap_err();
+    assert_eq!(refusal.reason, Reason::NoOwner);
+    assert!(refusal.retry_after >= Duration::from_secs(1));
+}
+
+#[test]
+fn a_large_request_goes_to_an_endpoint_of_its_zone() {
+    let now = Instant(1_000_000);
+    let endpoints = [endpoint(0, "b"), endpoint(1, "b"), endpoint(2, "a")];
+    let mut desk = desk(&endpoints, now);
+    let asked = Ask {
+        bytes: 60_000,
+        ..ask()
+    };
+    desk.arrive(ticket(1), asked, &nowhere, now).unwrap();
+    let turn = desk.turn(&nowhere, now);
+    assert_eq!(&*turn.starts[0].endpoint, "i-02");
+}
+
+#[test]
+fn an_endpoint_that_cannot_be_reached_is_left_out_but_never_all_of_them() {
+    let mut now = Instant(1_000_000);
+    let endpoints = [endpoint(0, "a"), endpoint(1, "a"), endpoint(2, "a"), endpoint(3, "a")];
+    let mut desk = desk(&endpoints, now);
+    for number in 1..60 {
+        desk.arrive(ticket(number), ask(), &nowhere, now).unwrap();
+        let turn = desk.turn(&nowhere, now);
+        assert_eq!(turn.starts.len(), 1, "request {number} got no permit");
+        now = now.after(Duration::from_millis(5));
+        desk.end(ticket(number), Outcome::Unreachable, Duration::ZERO, now);
+    }
+}
+
+#[test]
+fn a_permit_whose_end_was_lost_is_given_back() {
+    let mut now = Instant(1_000_000);
+    let mut desk = desk(&[endpoint(0, "a")], now);
+    for number in 1..=2 {
+        desk.arrive(ticket(number), ask(), &nowhere, now).unwrap();
+    }
+    assert_eq!(desk.turn(&nowhere, now).starts.len(), 2);
+    now = now.after(Duration::from_millis(500));
+    desk.reconcile(ticket(1).asker, &[2], now);
+    assert_eq!(desk.running(), 1);
+}
+
+#[test]
+fn repeats_stay_within_their_bound() {
+    let mut now = Instant(1_000_000);
+    let endpoints: Vec<Endpoint> = (0..8).map(|index| endpoint(index, "a")).collect();
+    let mut desk = desk(&endpoints, now);
+    let (mut firsts, mut repeats) = (0_u64, 0_u64);
+    for number in 1..4_000 {
+        let is_repeat = number % 2 == 0;
+        let asked = Ask { is_repeat, ..ask() };
+        let is_taken = desk.arrive(ticket(number), asked, &nowhere, now).is_ok();
+        let _ = desk.turn(&nowhere, now);
+        desk.end(ticket(number), Outcome::Shed, Duration::ZERO, now);
+        firsts += u64::from(!is_repeat);
+        repeats += u64::from(is_repeat && is_taken);
+        now = now.after(Duration::from_millis(2));
+    }
+    assert!(repeats > 0);
+    assert!(repeats <= firsts / 5 + BOUND.slack, "{repeats} of {firsts}");
+}
