--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! function takes the time and what is known as arguments, so that tests can
 //! drive it through schedules that a network would rarely show.
 
+pub mod account;
 pub mod admit;
 pub mod dispatch;
 pub mod holding;
--- a/src/core/rank.rs
+++ b/src/core/rank.rs
@@ -33,11 +33,11 @@
 /// Chooses the VMs that read the store for the others, spread over zones.
 ///
 /// `is_usable` says which members are believed to be alive.
-pub fn relays<'a>(
-    members: &'a [Member],
+pub fn relays(
+    members: &[Member],
     count: usize,
     is_usable: impl Fn(&Member) -> bool,
-) -> Vec<&'a Member> {
+) -> Vec<&Member> {
     let mut left = sorted(members, RELAY_SEED);
     left.retain(|member| is_usable(member));
     let mut chosen: Vec<&Member> = Vec::new();
--- a/src/ops/command.rs
+++ b/src/ops/command.rs
@@ -14,7 +14,8 @@
         explain,
         plan,
         services,
-        status, //
+        status,
+        why, //
     },
 };
 use displaydoc::Display;
@@ -37,7 +38,8 @@
     services  show the intents in force
     status    show members, services and endpoints
     explain   show why a key is owned where it is
-    audit     show what changed, when and why";
+    audit     show what changed, when and why
+    why       tell from log files what became of a request: why ID FILE...";
 
 /// Exit code for a wrong command line or a refusal.
 const WRONG: u8 = 2;
@@ -58,6 +60,10 @@
     },
     /// there is no command {0}; try --help
     Command(Box<str>),
+    /// {0} are missing; try --help
+    Operand(&'static str),
+    /// no line has the id {0}; successes are logged one in 256, and a line may have been dropped
+    Unknown(Box<str>),
 }
 
 impl std::error::Error for Error {}
@@ -144,6 +150,7 @@
             "status" => status::run(&call).await,
             "explain" => explain::run(&call).await,
             "audit" => audit::run(&call).await,
+            "why" => why::run(&call),
             _ => Err(Error::Command(command.clone().into()).into()),
         }
     })
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -15,3 +15,4 @@
 pub mod services;
 pub mod signal;
 pub mod status;
+pub mod why;
--- a/src/router/desk.rs
+++ b/src/router/desk.rs
@@ -278,7 +278,7 @@
         let view = state.view();
         for job in jobs {
             let mut inner = job.inner.lock().unwrap();
-            let is_sweep = ticks.is_multiple_of(TICKS_PER_SWEEP);
+            let is_sweep = ticks % TICKS_PER_SWEEP == 0;
             if is_sweep {
                 let first = asks::desks(&state, &view, &job.service).into_iter().next();
                 inner.desk.set_first(first == Some(state.socket.address));
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -553,7 +553,7 @@
         "outcome" => reason
     )
     .record(took.as_secs_f64());
-    if status.is_success() && !count.is_multiple_of(LOG_ONE_IN) {
+    if status.is_success() && count % LOG_ONE_IN != 0 {
         return;
     }
     let view = state.view();
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole system, one module a feature.
 
+mod account;
 mod admin;
 mod budget;
 mod copy;
