--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod permit;
 mod plan;
 mod request_path;
+mod router;
 mod spread;
 mod support;
 mod ticket;
--- /dev/null
+++ b/tests/suite/router.rs
@@ -0,0 +1,336 @@
+//! The router process against stand-ins of a platform.
+
+mod stand_in;
+
+use async_io::block_on;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{
+    Method,
+    Request,
+    StatusCode, //
+};
+use rhubarbpick::{
+    core::{
+        manifest::{
+            Host,
+            Limits,
+            Manifest,
+            Part,
+            Repeat,
+            Route,
+            Service, //
+        },
+        mirror::{
+            Kind,
+            Value, //
+        },
+    },
+    kernel::{
+        http::full,
+        pool,
+        runtime::Context, //
+    },
+    router::Router,
+};
+use stand_in::{
+    router,
+    wait,
+    Mode,
+    Server,
+    Store, //
+};
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
+    time::Duration,
+};
+
+/// Longest time until a system serves.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+
+/// Time within which a key is to be served again after the loss of its owner:
+/// the hold of 1.3 s and what the design note adds to it.
+const BACK_WITHIN: Duration = Duration::from_millis(2_500);
+
+fn manifest(keyed: &str, pool: &str) -> Manifest {
+    let service = |name: &str, is_keyed| Service {
+        name: name.into(),
+        is_keyed,
+        connections: 100,
+    };
+    let route = |name: &str, repeat, service: &str| Route {
+        name: name.into(),
+        prefix: format!("/{name}/").into(),
+        repeat,
+        timeout_ms: 3_000,
+        goal_ms: 300,
+        rank: 1,
+        attempts: 2,
+        parts: vec![Part {
+            service: service.into(),
+            weight: 1,
+        }],
+    };
+    let mut manifest = Manifest {
+        version: 1,
+        services: vec![service(keyed, true), service(pool, false)],
+        hosts: vec![Host {
+            name: "host".into(),
+            routes: vec![
+                route("view", Repeat::Idempotent, keyed),
+                route("read", Repeat::Idempotent, pool),
+                route("bid", Repeat::Once, pool),
+            ],
+        }],
+        limits: Limits {
+            head_bytes: 16_384,
+            body_bytes: 1 << 20,
+            idle_ms: 15_000,
+        },
+    };
+    manifest.sort();
+    manifest
+}
+
+struct System {
+    context: Context,
+    store: Arc<Store>,
+    keyed: Vec<Arc<Server>>,
+    pool: Vec<Arc<Server>>,
+    routers: Vec<Router>,
+    requests: u64,
+}
+
+impl System {
+    /// Starts `vms` routers, three keyed endpoints and three others.
+    fn start(name: &str, vms: usize) -> Self {
+        let context = Context::spawn(2);
+        let (address, store) = Store::open();
+        let (keyed_name, pool_name) = (format!("{name}-keyed"), format!("{name}-pool"));
+        let manifest = manifest(&keyed_name, &pool_name);
+        store.put(
+            Kind::Manifest,
+            "main",
+            Some(Value::Manifest(Arc::new(manifest))),
+        );
+        let start = |service: &str, is_keyed| {
+            let servers = (0..3).map(|index| {
+                let id = format!("{service}-{index}");
+                Server::start(&context, &store, &id, service, is_keyed)
+            });
+            servers.collect::<Vec<_>>()
+        };
+        let (keyed, pool) = (start(&keyed_name, true), start(&pool_name, false));
+        let routers =
+            (0..vms).map(|index| router(&context, address, &format!("{name}-vm-{index}")));
+        let routers = routers.collect();
+        let system = Self {
+            context,
+            store,
+            keyed,
+            pool,
+            routers,
+            requests: 0,
+        };
+        assert!(
+            wait(READY_WITHIN, || system.owner(7).is_some()
+                && system
+                    .routers
+                    .iter()
+                    .all(|router| router.state.is_ready())),
+            "the system does not get ready"
+        );
+        system
+    }
+
+    fn owner(&self, key: u16) -> Option<&Arc<Server>> {
+        self.keyed.iter().find(|server| server.holds(key))
+    }
+
+    fn entry(&self, vm: usize) -> SocketAddr {
+        self.routers[vm].state.settings.listen.callers
+    }
+
+    /// Sends a request and returns its identity, status and body.
+    fn send(
+        &mut self,
+        vm: usize,
+        method: Method,
+        path: &str,
+        key: Option<u16>,
+    ) -> (String, StatusCode, Bytes) {
+        self.requests += 1;
+        let id = format!("request-{}", self.requests);
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "host")
+            .header("x-id", &id)
+            .header("x-deadline", "3000");
+        if let Some(key) = key {
+            request = request.header("x-key", key.to_string());
+        }
+        let request = request.body(full("")).unwrap();
+        let pool = pool::open(&self.context, self.entry(vm), 8);
+        let exchange = async {
+            let response = pool.send(request, Duration::from_secs(5)).await;
+            let response = response.expect("an entry that runs answers");
+            let status = response.status();
+            let body = response.into_body().collect().await.unwrap().to_bytes();
+            (id, status, body)
+        };
+        block_on(exchange)
+    }
+
+    fn view(&mut self, vm: usize, key: u16) -> StatusCode {
+        let (id, status, body) = self.send(vm, Method::GET, "/view/x", Some(key));
+        if status.is_success() {
+            assert_eq!(body, format!("answer to {id}"), "the caller's own answer");
+        }
+        status
+    }
+}
+
+#[test]
+fn a_calm_system_serves_every_kind_of_request() {
+    let mut system = System::start("calm", 3);
+    for vm in 0..3 {
+        for key in [0, 7, 30_000, 65_535] {
+            assert_eq!(system.view(vm, key), StatusCode::OK);
+        }
+        let (_, status, _) = system.send(vm, Method::POST, "/bid/x", None);
+        assert_eq!(status, StatusCode::OK);
+        let (_, status, _) = system.send(vm, Method::GET, "/none/x", None);
+        assert_eq!(status, StatusCode::NOT_FOUND);
+    }
+}
+
+#[test]
+fn a_read_whose_answer_is_overdue_is_served_by_a_second_endpoint() {
+    let mut system = System::start("overdue", 2);
+    for _ in 0..12 {
+        system.send(0, Method::GET, "/read/x", None);
+    }
+    system.pool[0].set_mode(Mode::Mute);
+    for _ in 0..6 {
+        let (_, status, _) = system.send(0, Method::GET, "/read/x", None);
+        assert_eq!(status, StatusCode::OK);
+    }
+}
+
+#[test]
+fn a_second_try_without_a_permit_leaves_the_process_running() {
+    // A fault of the past: the second try was awaited again and the process died.
+    let mut system = System::start("no-permit", 1);
+    for _ in 0..12 {
+        system.send(0, Method::GET, "/read/x", None);
+    }
+    for server in &system.pool {
+        server.set_mode(Mode::Mute);
+    }
+    let (_, status, _) = system.send(0, Method::GET, "/read/x", None);
+    assert!(status.is_server_error());
+    assert_eq!(system.view(0, 7), StatusCode::OK);
+}
+
+#[test]
+fn a_request_that_may_run_once_is_never_sent_twice() {
+    let mut system = System::start("once", 2);
+    for server in &system.pool {
+        server.set_mode(Mode::Mute);
+    }
+    let (id, status, _) = system.send(0, Method::POST, "/bid/x", None);
+    assert!(status == StatusCode::GATEWAY_TIMEOUT || status == StatusCode::BAD_GATEWAY);
+    let runs: usize = system
+        .pool
+        .iter()
+        .map(|server| {
+            server
+                .runs
+                .lock()
+                .unwrap()
+                .iter()
+                .filter(|run| ***run == *id)
+                .count()
+        })
+        .sum();
+    assert_eq!(runs, 1);
+}
+
+#[test]
+fn a_refusal_says_not_run_and_it_did_not() {
+    let mut system = System::start("refusal", 2);
+    for server in &system.pool {
+        server.set_mode(Mode::Sheds);
+    }
+    let (id, status, _) = system.send(0, Method::POST, "/bid/x", None);
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    for server in &system.pool {
+        assert!(!server.runs.lock().unwrap().iter().any(|run| **run == *id));
+    }
+}
+
+#[test]
+fn keys_of_a_crashed_endpoint_are_served_again() {
+    let mut system = System::start("crash", 3);
+    let owner = Arc::clone(system.owner(7).unwrap());
+    owner.crash();
+    let is_back = wait(BACK_WITHIN, || system.owner(7).is_some());
+    assert!(is_back, "key 7 has no owner after {BACK_WITHIN:?}");
+    assert!(wait(Duration::from_secs(1), || system.view(0, 7)
+        == StatusCode::OK));
+}
+
+#[test]
+fn keys_stay_served_while_the_store_is_down() {
+    let mut system = System::start("outage", 3);
+    system.store.set_down(true);
+    for _ in 0..30 {
+        assert_eq!(system.view(1, 7), StatusCode::OK);
+        block_on(rhubarbpick::kernel::runtime::sleep(Duration::from_millis(
+            100,
+        )));
+    }
+    system.store.set_down(false);
+    assert_eq!(system.view(1, 7), StatusCode::OK);
+}
+
+#[test]
+fn a_leaving_planner_hands_over_and_no_key_is_lost() {
+    let mut system = System::start("leaving", 3);
+    let view = system.routers[0].state.view();
+    let claim = view.tables[0].1.claim.node.clone();
+    let names = system.routers.iter();
+    let planner = names
+        .map(|router| router.state.settings.name.clone())
+        .position(|name| name == claim)
+        .unwrap();
+    let other = (planner + 1) % 3;
+    system.routers[planner].state.leave();
+    for _ in 0..20 {
+        assert_eq!(system.view(other, 7), StatusCode::OK);
+        block_on(rhubarbpick::kernel::runtime::sleep(Duration::from_millis(
+            100,
+        )));
+    }
+    let view = system.routers[other].state.view();
+    assert_ne!(view.tables[0].1.claim.node, claim);
+}
+
+#[test]
+fn calls_to_the_store_at_rest_do_not_grow_with_the_vms() {
+    let mut rates = Vec::new();
+    for vms in [3, 9] {
+        let system = System::start(&format!("rest-{vms}"), vms);
+        block_on(rhubarbpick::kernel::runtime::sleep(Duration::from_secs(4)));
+        let before = system.store.calls.load(Ordering::SeqCst);
+        block_on(rhubarbpick::kernel::runtime::sleep(Duration::from_secs(4)));
+        rates.push(system.store.calls.load(Ordering::SeqCst) - before);
+    }
+    // Two calls of leeway for a watch that ends within the span.
+    assert!(rates[1] <= rates[0] + 2, "{rates:?} calls in four seconds");
+}
