--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -120,8 +120,11 @@
     }
 }
 
-fn stores() -> &'static Mutex<Vec<(SocketAddr, Arc<Store>)>> {
-    static STORES: OnceLock<Mutex<Vec<(SocketAddr, Arc<Store>)>>> = OnceLock::new();
+/// Stores by the address that names them.
+type Stores = Mutex<Vec<(SocketAddr, Arc<Store>)>>;
+
+fn stores() -> &'static Stores {
+    static STORES: OnceLock<Stores> = OnceLock::new();
     STORES.get_or_init(Mutex::default)
 }
 
