Put stand-ins on a port from which no connection starts

Cause: a port found free was taken before it was bound, once in each of two whole runs (router::a_second_try_without_a_permit, then router::a_request_that_may_run_once); the address alone did not help.

--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -71,10 +71,7 @@
     },
 };
 use std::{
-    net::{
-        SocketAddr,
-        TcpListener, //
-    },
+    net::SocketAddr,
     sync::{
         atomic::{
             AtomicBool,
@@ -529,16 +526,15 @@
     router::spawn(context, settings, None).expect("free addresses can be bound")
 }
 
+/// Port of all stand-ins, below those from which connections start.
+const PORT: u16 = 7_001;
+
 /// An address of the loopback that nothing else in this process uses.
-///
-/// Each call has a number of its own: a port that is free on one address may
-/// be taken there a moment later by a connection that starts at it.
 fn free_address() -> SocketAddr {
-    static NEXT: AtomicU64 = AtomicU64::new(1);
+    static NEXT: AtomicU64 = AtomicU64::new(0);
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
-    let ip = format!("127.77.{}.{}:0", number / 250, number % 250 + 1);
-    let listener = TcpListener::bind(ip).unwrap();
-    listener.local_addr().unwrap()
+    let (high, low) = (number / 250, number % 250 + 1);
+    SocketAddr::from(([127, 77, high as u8, low as u8], PORT))
 }
 
 /// Waits until `is_so`, at most `span`.
