Never say 'not run' of a request that an endpoint ran and failed

Cause: read in the diff. After an endpoint's failure to an idempotent request, a later try that was shed, not sent or refused ended in a 503, which promises that the request has not run, and the endpoint's answer was dropped; the same where a second try had failed. Ruled out: requests that may run once, which are not tried again. router::a_failure_that_an_endpoint_made_is_never_replaced_by_a_refusal was red (503 in place of 500) and is green.

--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -250,15 +250,11 @@
 ) -> Result<Response<Body>, Reply> {
     let mut payload = Some(payload);
     let mut avoid: Vec<Box<str>> = Vec::new();
-    let mut runs = 0;
     let mut is_sent = false;
-    // What to say if no further try is made: the last failure that may have run.
-    let mut verdict: Option<Reply> = None;
-    let mut own_failure: Option<Response<Body>> = None;
-    let retry = |reason| Reply::NotRun(reason, TRY_MIN);
+    let mut past = Past::default();
     loop {
         let Some(content) = payload.take() else {
-            return own_failure.ok_or(verdict.unwrap_or(Reply::Unknown("not_kept")));
+            return past.give_up("not_kept", TRY_MIN);
         };
         let bytes = match &content {
             Payload::Whole(bytes) => bytes.len() as u32,
@@ -269,10 +265,7 @@
             asks::Answer::Go(permit) => permit,
             asks::Answer::No(reason, after) => {
                 trail.last = desk::reason_name(reason);
-                if let Some(response) = own_failure {
-                    return Ok(response);
-                }
-                return Err(verdict.unwrap_or(Reply::NotRun(trail.last, after)));
+                return past.give_up(trail.last, after);
             }
         };
         trail.endpoint = permit.endpoint.clone();
@@ -290,7 +283,7 @@
             permit.end(Outcome::Unreachable);
             trail.tries += 1;
             if trail.tries >= TRIES_MAX {
-                return Err(verdict.unwrap_or(retry("unknown_endpoint")));
+                return past.give_up("unknown_endpoint", TRY_MIN);
             }
             payload = Some(content);
             continue;
@@ -307,23 +300,23 @@
             end: work.end,
         };
         trail.tries += 1;
-        let may_run_twice = work.route.repeat.is_allowed() && runs + 2 <= work.route.attempts;
+        let may_run_twice = work.route.repeat.is_allowed() && past.runs + 2 <= work.route.attempts;
         let (tried, extra_runs) =
             send(state, work, &job, endpoint, content, permit, may_run_twice).await;
-        runs += extra_runs;
+        past.runs += extra_runs;
         let may_again = trail.tries < TRIES_MAX && left(work.end) > TRY_MIN;
         match tried {
             Try::Answered(response) => {
-                runs += 1;
+                past.runs += 1;
                 trail.last = "answered";
                 let is_worth_another = response.status().is_server_error()
                     && work.route.repeat.is_allowed()
-                    && runs < work.route.attempts
+                    && past.runs < work.route.attempts
                     && may_again;
                 if !is_worth_another {
                     return Ok(response);
                 }
-                own_failure = Some(response);
+                past.answer = Some(response);
                 avoid.push(endpoint.id.clone());
                 payload = kept;
                 is_sent = true;
@@ -331,7 +324,7 @@
             Try::Shed => {
                 trail.last = "shed";
                 if !may_again || kept.is_none() {
-                    return Err(verdict.unwrap_or(retry("shed")));
+                    return past.give_up("shed", TRY_MIN);
                 }
                 avoid.push(endpoint.id.clone());
                 payload = kept;
@@ -340,7 +333,7 @@
             Try::NotHolder => {
                 trail.last = "not_holder";
                 if !may_again || kept.is_none() {
-                    return Err(verdict.unwrap_or(retry("not_holder")));
+                    return past.give_up("not_holder", TRY_MIN);
                 }
                 payload = kept;
                 is_sent = true;
@@ -348,7 +341,7 @@
             Try::Unsent(why, back) => {
                 trail.last = why;
                 if !may_again {
-                    return Err(verdict.unwrap_or(retry(why)));
+                    return past.give_up(why, TRY_MIN);
                 }
                 avoid.push(endpoint.id.clone());
                 payload = Some(back);
@@ -358,12 +351,12 @@
                     Try::Broken(why) => why,
                     _ => "silent",
                 };
-                runs += 1;
+                past.runs += 1;
                 trail.last = why;
-                verdict = Some(Reply::Unknown(why));
-                let is_allowed = work.route.repeat.is_allowed() && runs < work.route.attempts;
+                past.why = why;
+                let is_allowed = work.route.repeat.is_allowed() && past.runs < work.route.attempts;
                 if !is_allowed || !may_again {
-                    return Err(Reply::Unknown(why));
+                    return past.give_up(why, TRY_MIN);
                 }
                 avoid.push(endpoint.id.clone());
                 payload = kept;
@@ -371,12 +364,38 @@
             }
             Try::Late => {
                 trail.last = "late";
-                return Err(Reply::Late);
+                return past.answer.ok_or(Reply::Late);
             }
         }
     }
 }
 
+/// What endpoints may have done for a request already.
+#[derive(Default)]
+struct Past {
+    /// Endpoints that may have run it.
+    runs: u32,
+    /// How the last of them failed it.
+    why: &'static str,
+    /// A failure that one of them answered.
+    answer: Option<Response<Body>>,
+}
+
+impl Past {
+    /// Ends a request that is not tried again.
+    ///
+    /// An answer that an endpoint made is delivered, and only what no endpoint
+    /// can have run is said not to have run.
+    fn give_up(self, reason: &'static str, after: Duration) -> Result<Response<Body>, Reply> {
+        match self.answer {
+            Some(response) => Ok(response),
+            None if self.runs > 0 && self.why.is_empty() => Err(Reply::Unknown(reason)),
+            None if self.runs > 0 => Err(Reply::Unknown(self.why)),
+            None => Err(Reply::NotRun(reason, after)),
+        }
+    }
+}
+
 /// Sends a request under a permit; if the answer takes far longer than it
 /// should and the request `may_run_twice`, sends it to a second endpoint too.
 ///
@@ -417,8 +436,7 @@
                 return (tried, 1);
             }
             match second.await {
-                Some(other) if other.is_good() => (other, 1),
-                Some(_) => (tried, 1),
+                Some(other) => (better(tried, other), 1),
                 None => (tried, 0),
             }
         }
@@ -429,11 +447,24 @@
         Race::Second(other) => {
             let tried = first.await;
             permit.end(tried.outcome());
-            (tried, u32::from(other.is_some()))
+            match other {
+                Some(other) => (better(tried, other), 1),
+                None => (tried, 0),
+            }
         }
     }
 }
 
+/// Chooses between two tries of a request: an answer, a good one above all.
+fn better(first: Try, second: Try) -> Try {
+    let is_answer = |tried: &Try| matches!(tried, Try::Answered(_));
+    if second.is_good() && !first.is_good() || is_answer(&second) && !is_answer(&first) {
+        second
+    } else {
+        first
+    }
+}
+
 /// Which of two tries ended first.
 enum Race {
     First(Try),
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -274,6 +274,30 @@
     }
 }
 
+#[test]
+fn a_failure_that_an_endpoint_made_is_never_replaced_by_a_refusal() {
+    // One endpoint runs the request and fails it; the others turn it away.
+    let mut system = System::start("made", 2);
+    system.pool[0].set_mode(Mode::Fails);
+    system.pool[1].set_mode(Mode::Sheds);
+    system.pool[2].set_mode(Mode::Sheds);
+    for _ in 0..8 {
+        let (id, status, body) = system.send(0, Method::GET, "/read/x", None);
+        let has_run = system.pool[0]
+            .runs
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|run| **run == *id);
+        if has_run {
+            assert_eq!(status, StatusCode::INTERNAL_SERVER_ERROR, "{id} has run");
+            assert_eq!(body, format!("answer to {id}"));
+        } else {
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{id} has not run");
+        }
+    }
+}
+
 #[test]
 fn keys_of_a_crashed_endpoint_are_served_again() {
     let mut system = System::start("crash", 3);
--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -278,6 +278,8 @@
     Mute,
     /// It refuses them.
     Sheds,
+    /// It runs them and answers with a failure.
+    Fails,
 }
 
 /// An endpoint.
@@ -390,7 +392,11 @@
             std::future::pending::<()>().await;
         }
         sleep(self.work).await;
-        let mut response = answer(StatusCode::OK, "text/plain", format!("answer to {id}"));
+        let status = match mode {
+            Mode::Fails => StatusCode::INTERNAL_SERVER_ERROR,
+            _ => StatusCode::OK,
+        };
+        let mut response = answer(status, "text/plain", format!("answer to {id}"));
         let headers = response.headers_mut();
         headers.insert(fields.request_id, HeaderValue::from_str(&id).unwrap());
         headers.insert(
