Note changes of tables in the order in which they take effect

Cause: State::adopt_cell wrote its log line after the lock on the tables was given back, so two threads that adopt versions 3 and 4 could write 4 first. Ruled out: a table that did revert; the renewer compares the token under its own lock, and the tables compare it under theirs.

The note is now written under the lock.

--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -226,14 +226,16 @@
     /// Takes in a table, and follows it as a renewer.
     pub fn adopt_cell(&self, cell: Cell) {
         let cell = Arc::new(cell);
-        if !self.tables.adopt_cell(Arc::clone(&cell)) {
+        let note = || {
+            log::info!(
+                "event=table_adopted cell={} token={}",
+                cell.name,
+                cell.token
+            );
+        };
+        if !self.tables.adopt_cell(Arc::clone(&cell), note) {
             return;
         }
-        log::info!(
-            "event=table_adopted cell={} token={}",
-            cell.name,
-            cell.token
-        );
         self.renewer.adopt(&cell, &self.me, clock::now());
         self.update_close();
         self.nudge.notify(usize::MAX);
@@ -253,10 +255,10 @@
     pub fn adopt_intent(&self, confirmed: Confirmed) {
         let service = confirmed.intent.service.clone();
         let version = confirmed.version;
-        if !self.tables.adopt_intent(Arc::new(confirmed)) {
+        let note = || log::info!("event=intent_adopted service={service} version={version}");
+        if !self.tables.adopt_intent(Arc::new(confirmed), note) {
             return;
         }
-        log::info!("event=intent_adopted service={service} version={version}");
         self.nudge.notify(usize::MAX);
     }
 
--- a/src/daemon/tables.rs
+++ b/src/daemon/tables.rs
@@ -67,9 +67,10 @@
         self.changed.listen()
     }
 
-    /// Takes in a table if it is newer than the one held.
-    pub fn adopt_cell(&self, cell: Arc<Cell>) -> bool {
-        self.update(|snapshot| {
+    /// Takes in a table if it is newer than the one held; `note` is called
+    /// before any other change, so notes are in the order of the changes.
+    pub fn adopt_cell(&self, cell: Arc<Cell>, note: impl FnOnce()) -> bool {
+        self.update(note, |snapshot| {
             let found = snapshot
                 .cells
                 .binary_search_by(|held| held.name.cmp(&cell.name));
@@ -87,9 +88,9 @@
         })
     }
 
-    /// Takes in an intent if it is newer than the one held.
-    pub fn adopt_intent(&self, confirmed: Arc<Confirmed>) -> bool {
-        self.update(|snapshot| {
+    /// Takes in an intent if it is newer than the one held, and notes it likewise.
+    pub fn adopt_intent(&self, confirmed: Arc<Confirmed>, note: impl FnOnce()) -> bool {
+        self.update(note, |snapshot| {
             let service = &confirmed.intent.service;
             let found = snapshot
                 .intents
@@ -108,13 +109,14 @@
         })
     }
 
-    fn update(&self, change: impl FnOnce(&mut Snapshot) -> bool) -> bool {
+    fn update(&self, note: impl FnOnce(), change: impl FnOnce(&mut Snapshot) -> bool) -> bool {
         let mut held = self.snapshot.write().unwrap();
         let mut next = (**held).clone();
         if !change(&mut next) {
             return false;
         }
         *held = Arc::new(next);
+        note();
         drop(held);
         self.changed.notify(usize::MAX);
         true
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -15,5 +15,6 @@
 mod router;
 mod spread;
 mod support;
+mod table;
 mod ticket;
 mod wire;
--- /dev/null
+++ b/tests/suite/table.rs
@@ -0,0 +1,62 @@
+//! What is noted of changes that several threads take in at once.
+
+use rhubarbpick::{
+    core::intent::{
+        Confirmed,
+        Intent, //
+    },
+    daemon::tables::Tables,
+};
+use std::{
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    thread,
+};
+
+const INTENT: &str = "
+service: catalogue
+operator: slavonska-bala
+prefix: /catalogue/
+shards: 64
+slots: 2
+connections: 110
+endpoints:
+  - {name: one, address: 127.0.0.1:7001, zone: a}
+classes:
+  - {name: listing, method: GET, repeatable: true, deadline_ms: 2000}
+";
+
+fn confirmed(version: u64) -> Arc<Confirmed> {
+    Arc::new(Confirmed {
+        version,
+        plan: "plan".into(),
+        by: "ana".into(),
+        time_ms: 0,
+        intent: Intent::parse(INTENT).unwrap(),
+    })
+}
+
+#[test]
+fn changes_are_noted_in_the_order_in_which_they_took_effect() {
+    const THREADS: u64 = 4;
+    for _ in 0..20 {
+        let tables = Tables::default();
+        let noted = Mutex::new(Vec::new());
+        thread::scope(|scope| {
+            for thread in 0..THREADS {
+                let (tables, noted) = (&tables, &noted);
+                scope.spawn(move || {
+                    for step in 0..200 {
+                        let version = step * THREADS + thread;
+                        let note = || noted.lock().unwrap().push(version);
+                        tables.adopt_intent(confirmed(version), note);
+                    }
+                });
+            }
+        });
+        let noted = noted.into_inner().unwrap();
+        assert!(noted.is_sorted(), "{noted:?}");
+    }
+}
