Let late requests wait for what those in time leave of the capacity

A late request goes behind all that are in time, so it waits for the work ahead divided by what the work in time leaves of the capacity. That share is averaged over 16 requests. A caller that was refused before goes before other late ones and may wait two thirds of its time instead of one, since it will seldom return once more; until now `is_return` was carried and not used.

--- a/src/core/permit.rs
+++ b/src/core/permit.rs
@@ -6,10 +6,11 @@
 //! a permit; the permit names the endpoint and ends with the answer.
 //!
 //! - Order: rank, then requests that can still meet their goal by that goal,
-//!   then late ones by their deadline.
-//! - Admission: a request that cannot meet its goal waits only if there is
-//!   room to spare, else it is refused at once with the time at which there
-//!   will be room. Room is judged from the work ahead and the learned speed.
+//!   then late ones by their deadline, callers that were refused before first.
+//! - Admission: a request that cannot meet its goal waits only if what those
+//!   in time leave of the capacity suffices for it, else it is refused at once
+//!   with the time at which there will be room. Room is judged from the work
+//!   ahead and the learned speed.
 //! - Choice of the endpoint: the least expected time, where another zone
 //!   costs more the more bytes have to cross, and an endpoint to which the
 //!   asking VM has an open connection costs less.
@@ -113,14 +114,26 @@
 /// Part of the goal that is kept for the way to the caller.
 const GOAL_MARGIN: Duration = Duration::from_millis(10);
 
-/// Load above which late requests are refused, as a share of capacity.
-const SPARE_LOAD: f64 = 0.9;
-
-/// Span over which the load is averaged, in microseconds.
+/// Span over which the load that callers bring is averaged, in microseconds.
 const LOAD_SPAN_US: f64 = 1_000_000.0;
 
-/// Part of its time that a request may wait, as one part in this many.
-const WAIT_DIVISOR: u32 = 3;
+/// Requests over which the load of work in time is averaged: known to a quarter.
+const FRESH_REQUESTS: f64 = 16.0;
+
+/// Bounds on that span, in microseconds: a few ticks to [`LOAD_SPAN_US`].
+const FRESH_SPAN_US: (f64, f64) = (100_000.0, 1_000_000.0);
+
+/// Least share of capacity that late requests are taken to have.
+const SPARE_LEAST: f64 = 0.02;
+
+/// Part of its time that a late request may wait, so that a refusal leaves time to return.
+const WAIT_PART: f64 = 1.0 / 3.0;
+
+/// The same for a caller that was refused before, who seldom returns once more.
+const WAIT_PART_RETURN: f64 = 2.0 / 3.0;
+
+/// Part of its time after which a refused caller still returns (a bound of the callers).
+const RETURN_PART: f64 = 1.0 / 3.0;
 
 /// Shortest time after which a refused caller may return.
 const RETRY_MIN: Duration = Duration::from_millis(60);
@@ -176,6 +189,17 @@
     }
 }
 
+impl Ask {
+    /// Part of its time that the request may wait when it is late.
+    fn wait_part(&self) -> f64 {
+        if self.is_return {
+            WAIT_PART_RETURN
+        } else {
+            WAIT_PART
+        }
+    }
+}
+
 /// How a permit ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
@@ -263,6 +287,10 @@
     pub refusals: Vec<(Ticket, Refusal)>,
 }
 
+/// Place in the queue: rank, whether late, late ones that were not refused
+/// before last, and the time to meet.
+type Order = (u8, bool, bool, Instant);
+
 #[derive(Clone, Debug)]
 struct Waiting {
     ticket: Ticket,
@@ -299,8 +327,8 @@
     used_at: Instant,
     answered_at: Instant,
     warm: Vec<(SocketAddr, Instant)>,
-    load: f64,
-    load_at: Instant,
+    load: Flow,
+    fresh: Flow,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -319,8 +347,8 @@
     askers: Vec<(SocketAddr, Instant)>,
     budget: Budget,
     is_first: bool,
-    load: f64,
-    load_at: Instant,
+    load: Flow,
+    fresh: Flow,
     noise: u64,
 }
 
@@ -334,8 +362,8 @@
             askers: Vec::new(),
             budget: Budget::new(bound, now),
             is_first: false,
-            load: 0.0,
-            load_at: Instant::default(),
+            load: Flow::default(),
+            fresh: Flow::default(),
             noise: 0x9e37_79b9_7f4a_7c15,
         }
     }
@@ -439,7 +467,7 @@
         let least = (self.mean_us(ask.class) * SERVICE_LEAST) as u64;
         let until = match judged {
             Fit::InTime => Instant(goal.0.saturating_sub(least)).max(now),
-            Fit::Late => now.after(left / WAIT_DIVISOR),
+            Fit::Late => now.after(left.mul_f64(ask.wait_part())),
         };
         let waiting = Waiting {
             ticket,
@@ -450,6 +478,9 @@
             is_late: judged == Fit::Late,
             ask,
         };
+        if judged == Fit::InTime {
+            self.count_fresh(&waiting.ask, locate, now);
+        }
         self.insert(waiting);
         Ok(())
     }
@@ -483,10 +514,20 @@
             return Ok(Fit::InTime);
         }
         let left = ask.left_us as f64;
-        let may_wait =
-            estimate.wait_us <= left / f64::from(WAIT_DIVISOR) && estimate.finish_us <= left;
-        let is_spare = estimate.wait_us == 0.0 || estimate.load < SPARE_LOAD;
-        if may_wait && is_spare && self.waiting.len() < WAITING_MAX {
+        let work_us = estimate.finish_us - estimate.wait_us;
+        let late_us = self.late_wait_us(
+            ask,
+            now.after(Duration::from_micros(ask.left_us)),
+            locate,
+            now,
+        );
+        let late_us = if estimate.wait_us == 0.0 {
+            0.0
+        } else {
+            late_us
+        };
+        let may_wait = late_us <= left * ask.wait_part() && late_us + work_us <= left;
+        if may_wait && self.waiting.len() < WAITING_MAX {
             return Ok(Fit::Late);
         }
         let excess = Duration::from_micros((estimate.finish_us - goal).max(0.0) as u64);
@@ -496,11 +537,54 @@
             excess.max(RETRY_OVERLOADED)
         };
         // A caller returns within a part of its time or not at all.
-        let latest = Duration::from_micros(ask.left_us) / WAIT_DIVISOR;
+        let latest = Duration::from_micros(ask.left_us).mul_f64(RETURN_PART);
         let after = after.min(latest * 2 / 3);
         Err(self.refuse(Reason::Full, after))
     }
 
+    /// Returns how long a late request waits: it goes behind those in time,
+    /// so it has what they leave of the capacity.
+    fn late_wait_us(&self, ask: &Ask, deadline: Instant, locate: &Locate<'_>, now: Instant) -> f64 {
+        let order = (ask.rank, true, !ask.is_return, deadline);
+        let owner = ask.key.and_then(|key| locate(key).endpoint());
+        let ahead = self.waiting.iter().filter(|other| {
+            let theirs = other.ask.key.and_then(|key| locate(key).endpoint());
+            theirs == owner && other.order() <= order
+        });
+        let ahead_us: f64 = ahead.map(|other| self.mean_us(other.ask.class)).sum();
+        let (capacity, fresh) = match owner.and_then(|id| self.find(id)) {
+            Some(index) => {
+                let server = &self.servers[index];
+                (server.slots.max(1) as f64 / server.pace(now), server.fresh)
+            }
+            None => (self.pool_capacity(now), self.fresh),
+        };
+        let spare = (1.0 - fresh.value(now)).max(SPARE_LEAST);
+        ahead_us / (capacity * spare).max(f64::MIN_POSITIVE)
+    }
+
+    fn pool_capacity(&self, now: Instant) -> f64 {
+        let usable = self.usable(now).into_iter();
+        let servers = usable.map(|index| &self.servers[index]);
+        servers
+            .map(|server| server.slots as f64 / server.pace(now))
+            .sum()
+    }
+
+    /// Counts work that was taken in to be done in time.
+    fn count_fresh(&mut self, ask: &Ask, locate: &Locate<'_>, now: Instant) {
+        let mean = self.mean_us(ask.class);
+        let owner = ask.key.and_then(|key| locate(key).endpoint());
+        if let Some(index) = owner.and_then(|id| self.find(id)) {
+            let server = &mut self.servers[index];
+            let work = mean * server.pace(now) / server.slots.max(1) as f64;
+            server.fresh.add(work, fresh_span_us(work), now);
+        } else if ask.key.is_none() {
+            let work = mean / self.pool_capacity(now).max(f64::MIN_POSITIVE);
+            self.fresh.add(work, fresh_span_us(work), now);
+        }
+    }
+
     /// Spreads the return of refused callers over half as long again.
     fn refuse(&mut self, reason: Reason, after: Duration) -> Refusal {
         self.noise ^= self.noise << 13;
@@ -527,7 +611,7 @@
             Place::Moving(id) => (id, mean),
             Place::Nowhere(span) => {
                 // Who cannot wait that long is told when to come back.
-                let can_wait = span.as_micros() as u64 * u64::from(WAIT_DIVISOR) <= ask.left_us;
+                let can_wait = span.as_micros() as f64 <= ask.left_us as f64 * WAIT_PART;
                 if can_wait && span.as_micros() as u64 <= ask.goal_us {
                     return Ok(Estimate {
                         wait_us: 0.0,
@@ -544,6 +628,7 @@
         let order = (
             ask.rank,
             false,
+            false,
             now.after(Duration::from_micros(ask.goal_us)),
         );
         let ahead = self.waiting.iter().filter(|other| {
@@ -564,7 +649,9 @@
             (ahead_us + rest) * pace / slots
         };
         let wait_us = wait_us + moving_us + blocked_us;
-        let load = self.servers[index].offer(mean * pace / slots, now);
+        let load = &mut self.servers[index].load;
+        load.add(mean * pace / slots, LOAD_SPAN_US, now);
+        let load = load.value(now);
         Ok(Estimate {
             wait_us,
             finish_us: wait_us + mean * pace * SERVICE_RESERVE,
@@ -590,12 +677,14 @@
         let order = (
             ask.rank,
             false,
+            false,
             now.after(Duration::from_micros(ask.goal_us)),
         );
         let ahead = self.waiting.iter().filter(|other| other.order() <= order);
         let ahead_us: f64 = ahead.map(|other| self.mean_us(other.ask.class)).sum();
         let work = mean / capacity.max(f64::MIN_POSITIVE);
-        let load = offer(&mut self.load, &mut self.load_at, work, now);
+        self.load.add(work, LOAD_SPAN_US, now);
+        let load = self.load.value(now);
         if best_pace < f64::MAX && ahead_us == 0.0 {
             return Ok(Estimate {
                 wait_us: 0.0,
@@ -642,7 +731,7 @@
     /// Gives out free slots and ends what has waited too long.
     pub fn turn(&mut self, locate: &Locate<'_>, now: Instant) -> Turn {
         let mut turn = Turn::default();
-        self.expire(&mut turn, now);
+        self.expire(&mut turn, locate, now);
         let mut full: Vec<Box<str>> = Vec::new();
         let mut is_pool_full = false;
         let mut index = 0;
@@ -677,7 +766,7 @@
         turn
     }
 
-    fn expire(&mut self, turn: &mut Turn, now: Instant) {
+    fn expire(&mut self, turn: &mut Turn, locate: &Locate<'_>, now: Instant) {
         let mut late = Vec::new();
         let mut index = 0;
         while index < self.waiting.len() {
@@ -690,11 +779,13 @@
             late.push(waiting);
         }
         for mut waiting in late {
-            let limit = waiting
-                .since
-                .after(waiting.deadline.since(waiting.since) / WAIT_DIVISOR);
-            let is_spare = self.load < SPARE_LOAD && waiting.ask.key.is_none();
-            if !waiting.is_late && limit > now && is_spare {
+            let left = waiting.deadline.since(waiting.since);
+            let limit = waiting.since.after(left.mul_f64(waiting.ask.wait_part()));
+            let left_us = limit.since(now).as_micros() as f64;
+            let is_pooled = waiting.ask.key.is_none();
+            let can_wait =
+                || self.late_wait_us(&waiting.ask, waiting.deadline, locate, now) < left_us;
+            if !waiting.is_late && is_pooled && can_wait() {
                 waiting.is_late = true;
                 waiting.until = limit;
                 self.insert(waiting);
@@ -888,13 +979,14 @@
 }
 
 impl Waiting {
-    fn order(&self) -> (u8, bool, Instant) {
+    fn order(&self) -> Order {
         let by = if self.is_late {
             self.deadline
         } else {
             self.goal
         };
-        (self.ask.rank, self.is_late, by)
+        let is_new = self.is_late && !self.ask.is_return;
+        (self.ask.rank, self.is_late, is_new, by)
     }
 }
 
@@ -916,8 +1008,8 @@
             used_at: now,
             answered_at: now,
             warm: Vec::new(),
-            load: 0.0,
-            load_at: now,
+            load: Flow::default(),
+            fresh: Flow::default(),
         }
     }
 
@@ -946,10 +1038,6 @@
         !self.running.is_empty() && self.running.iter().all(is_old)
     }
 
-    fn offer(&mut self, work: f64, now: Instant) -> f64 {
-        offer(&mut self.load, &mut self.load_at, work, now)
-    }
-
     fn cost(&self, ask: &Ask, asker: SocketAddr, mean: f64, now: Instant) -> f64 {
         let expected = mean * self.pace(now);
         let hurry = expected / (ask.goal_us as f64).max(expected);
@@ -1000,11 +1088,27 @@
     }
 }
 
-/// Adds work to a decaying average and returns the load.
-fn offer(load: &mut f64, at: &mut Instant, work: f64, now: Instant) -> f64 {
-    let passed = now.since(*at).as_micros() as f64;
-    *load *= (-passed / LOAD_SPAN_US).exp();
-    *load += work / LOAD_SPAN_US;
-    *at = now;
-    *load
+/// Work a second as a share of capacity, a decaying average.
+#[derive(Clone, Copy, Debug, Default)]
+struct Flow {
+    value: f64,
+    span_us: f64,
+    at: Instant,
+}
+
+impl Flow {
+    fn add(&mut self, work_us: f64, span_us: f64, now: Instant) {
+        self.value = self.value(now) + work_us / span_us;
+        self.span_us = span_us;
+        self.at = now;
+    }
+
+    fn value(&self, now: Instant) -> f64 {
+        let passed = now.since(self.at).as_micros() as f64;
+        self.value * (-passed / self.span_us.max(1.0)).exp()
+    }
+}
+
+fn fresh_span_us(work_us: f64) -> f64 {
+    (work_us * FRESH_REQUESTS).clamp(FRESH_SPAN_US.0, FRESH_SPAN_US.1)
 }
--- a/tests/suite/permit.rs
+++ b/tests/suite/permit.rs
@@ -254,7 +254,7 @@
 
 #[test]
 fn refused_callers_that_return_when_there_is_room_are_served() {
-    for seed in 0..5 {
+    for seed in 0..20 {
         // A short crest, so that those who are refused return to free endpoints.
         let rate = |second: f64| {
             let is_crest = (3.0..4.5).contains(&second);
