--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod explore;
 mod holder;
 mod holding;
+mod lines;
 mod overload;
 mod ownership;
 mod permit;
