--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -32,6 +32,18 @@
     }
 }
 
+impl Kind {
+    /// Names the kind in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Manifest => "manifest",
+            Self::Endpoint => "endpoint",
+            Self::Member => "member",
+            Self::Table => "table",
+        }
+    }
+}
+
 /// All kinds.
 pub const KINDS: [Kind; 4] = [Kind::Manifest, Kind::Endpoint, Kind::Member, Kind::Table];
 
--- a/src/edge/objects.rs
+++ b/src/edge/objects.rs
@@ -67,6 +67,21 @@
 
 impl std::error::Error for Error {}
 
+impl Error {
+    /// Names the error in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Conflict(_) => "conflict",
+            Self::Absent => "absent",
+            Self::Busy(_) => "busy",
+            Self::Unreachable => "unreachable",
+            Self::Unknown => "unknown",
+            Self::HistoryGone => "history_gone",
+            Self::Protocol(_) => "protocol",
+        }
+    }
+}
+
 /// Lists the objects of a kind.
 pub type List = Box<dyn Fn(Kind, Age) -> Boxed<Result<Page, Error>> + Send + Sync>;
 
@@ -83,6 +98,8 @@
 pub type Remove = Box<dyn Fn(Kind, &str, u64) -> Boxed<Result<(), Error>> + Send + Sync>;
 
 /// An open store.
+///
+/// Callers use the methods, which count the calls.
 pub struct Handle {
     /// Lists objects.
     pub list: List,
@@ -95,3 +112,46 @@
     /// Removes an object.
     pub remove: Remove,
 }
+
+impl Handle {
+    /// Lists objects.
+    pub async fn list(&self, kind: Kind, age: Age) -> Result<Page, Error> {
+        count("list", kind, (self.list)(kind, age).await)
+    }
+
+    /// Waits for changes.
+    pub async fn watch(&self, kind: Kind, after: u64, wait: Duration) -> Result<Page, Error> {
+        count("watch", kind, (self.watch)(kind, after, wait).await)
+    }
+
+    /// Reads an object.
+    pub async fn get(&self, kind: Kind, name: &str) -> Result<Option<Object>, Error> {
+        count("get", kind, (self.get)(kind, name).await)
+    }
+
+    /// Writes an object.
+    pub async fn put(&self, write: Write) -> Result<u64, Error> {
+        let kind = write.kind;
+        count("put", kind, (self.put)(write).await)
+    }
+
+    /// Removes an object.
+    pub async fn remove(&self, kind: Kind, name: &str, revision: u64) -> Result<(), Error> {
+        count("remove", kind, (self.remove)(kind, name, revision).await)
+    }
+}
+
+fn count<T>(call: &'static str, kind: Kind, result: Result<T, Error>) -> Result<T, Error> {
+    let outcome = match &result {
+        Ok(_) => "done",
+        Err(error) => error.name(),
+    };
+    metrics::counter!(
+        "rhubarbpick_store_calls_total",
+        "call" => call,
+        "kind" => kind.name(),
+        "outcome" => outcome
+    )
+    .increment(1);
+    result
+}
--- a/src/router/member.rs
+++ b/src/router/member.rs
@@ -70,7 +70,7 @@
             revision,
         };
         let store = state.store();
-        match (store.put)(write).await {
+        match store.put(write).await {
             Ok(_) => {
                 log::info!("event=member_joined name={} run={}", own.name, own.run);
                 return;
@@ -118,7 +118,7 @@
             continue;
         };
         let store = state.store();
-        match (store.remove)(Kind::Member, name, revision).await {
+        match store.remove(Kind::Member, name, revision).await {
             Ok(()) | Err(Error::Absent) => log::info!("event=member_removed name={name}"),
             Err(error) => log::warn!("event=member_not_removed name={name} why=\"{error}\""),
         }
--- a/src/router/sync.rs
+++ b/src/router/sync.rs
@@ -186,7 +186,7 @@
 
 async fn list(state: &Arc<State>, kind: Kind, has_removals: bool) -> Result<u64, Error> {
     let store = state.store();
-    let page = (store.list)(kind, Age::Fresh).await?;
+    let page = store.list(kind, Age::Fresh).await?;
     let as_of = page.as_of;
     state.merge(|mirror| mirror.merge_list(kind, page.objects, as_of, has_removals));
     Ok(as_of)
@@ -200,7 +200,7 @@
     has_removals: bool,
 ) -> Result<u64, Error> {
     let store = state.store();
-    let page: Page = (store.watch)(kind, after, wait).await?;
+    let page: Page = store.watch(kind, after, wait).await?;
     state.merge(|mirror| {
         let mut is_changed = false;
         for object in page.objects {
