--- a/crates/emulator/src/proxy.rs
+++ b/crates/emulator/src/proxy.rs
@@ -134,8 +134,9 @@
             let modes = Arc::clone(&modes);
             let bytes = Arc::clone(&bytes);
             let context = accept_context.clone();
+            let open = Arc::clone(&open);
             accept_context.detach(async move {
-                pass(&context, client, peer.ip(), target, modes, bytes).await
+                pass(&context, client, peer.ip(), target, modes, bytes, open).await
             });
         }
     });
@@ -185,9 +186,9 @@
 }
 
 /// Adds a connection to those that can be reset, and forgets those that ended.
-fn remember(open: &mut Vec<Weak<Async<TcpStream>>>, client: &Arc<Async<TcpStream>>) {
+fn remember(open: &mut Vec<Weak<Async<TcpStream>>>, stream: &Arc<Async<TcpStream>>) {
     open.retain(|known| known.strong_count() > 0);
-    open.push(Arc::downgrade(client));
+    open.push(Arc::downgrade(stream));
 }
 
 async fn pass(
@@ -197,6 +198,7 @@
     target: SocketAddr,
     modes: Arc<Mutex<Modes>>,
     bytes: Arc<AtomicU64>,
+    open: Arc<Mutex<Vec<Weak<Async<TcpStream>>>>>,
 ) {
     let Ok(server) = Async::<TcpStream>::connect(target).await else {
         let _ = client.get_ref().shutdown(Shutdown::Both);
@@ -205,6 +207,7 @@
     let _ = client.get_ref().set_nodelay(true);
     let _ = server.get_ref().set_nodelay(true);
     let server = Arc::new(server);
+    remember(&mut open.lock().unwrap(), &server);
     let to_server = Arc::clone(&modes);
     let up = copy(
         context,
--- a/src/kernel/http.rs
+++ b/src/kernel/http.rs
@@ -119,6 +119,8 @@
     pub async fn drain(&self, span: Duration) -> usize {
         self.drain.close();
         let idle = async {
+            // A connection may just be on its way out of the accept loop.
+            sleep(DRAIN_POLL).await;
             while self.open.load(Ordering::Acquire) > 0 {
                 sleep(DRAIN_POLL).await;
             }
