Show queues, endpoints, ranges and refusals in the metrics

Gauges where a service is dispatched or planned, refusals by service and reason, moves of keys; documented with units. Labels stay bounded.

--- a/src/core/permit.rs
+++ b/src/core/permit.rs
@@ -415,6 +415,15 @@
         self.servers.iter().map(|server| server.running.len()).sum()
     }
 
+    /// Returns how many listed endpoints take requests, and how many are left out.
+    pub fn endpoint_states(&self, now: Instant) -> (usize, usize) {
+        let mean = self.mean_of_mix();
+        let is_out = |server: &&Server| server.blocked_until > now || server.is_stuck(mean, now);
+        let listed = self.servers.iter().filter(|server| server.is_listed);
+        let (all, out) = (listed.clone().count(), listed.filter(is_out).count());
+        (all - out, out)
+    }
+
     /// Returns an endpoint's capacity in requests of the usual mix a second.
     pub fn capacity(&self, id: &str, now: Instant) -> Option<f64> {
         let server = &self.servers[self.find(id)?];
--- a/src/router/desk.rs
+++ b/src/router/desk.rs
@@ -304,6 +304,7 @@
                 inner.desk.set_first(first == Some(state.socket.address));
                 inner.set_view(&job.service, &view, now);
                 inner.desk.sweep(now);
+                measure(&job.service, &inner, now);
             }
             if inner.desk.waiting() == 0 && !is_sweep {
                 continue;
@@ -315,6 +316,25 @@
     }
 }
 
+/// Shows what a service's queue, endpoints and keys are like now.
+fn measure(service: &str, inner: &Inner, now: Instant) {
+    let gauge = |name: &'static str, value: usize| {
+        metrics::gauge!(name, "service" => service.to_owned()).set(value as f64);
+    };
+    gauge("rhubarbpick_waiting_requests", inner.desk.waiting());
+    gauge("rhubarbpick_running_requests", inner.desk.running());
+    let (open, left_out) = inner.desk.endpoint_states(now);
+    gauge("rhubarbpick_open_endpoints", open);
+    gauge("rhubarbpick_left_out_endpoints", left_out);
+    if let Some(planner) = &inner.planner {
+        let (ranges, held) = planner.pieces();
+        gauge("rhubarbpick_key_ranges", ranges);
+        gauge("rhubarbpick_held_key_ranges", held);
+        metrics::counter!("rhubarbpick_key_moves_total", "service" => service.to_owned())
+            .absolute(planner.moves());
+    }
+}
+
 /// Work of a class takes about the same time.
 pub fn class(repeat: crate::core::manifest::Repeat, rank: u8, goal_ms: u64) -> u32 {
     let text = [repeat as u64, u64::from(rank), goal_ms];
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -266,6 +266,12 @@
             asks::Answer::Go(permit) => permit,
             asks::Answer::No(reason, after) => {
                 trail.last = desk::reason_name(reason);
+                metrics::counter!(
+                    "rhubarbpick_refusals_total",
+                    "service" => work.service.to_owned(),
+                    "reason" => trail.last
+                )
+                .increment(1);
                 return past.give_up(trail.last, after);
             }
         };
