Split permits and holdings, and keep one copy of what both processes need

permit: an endpoint as its dispatcher sees it, and load averages, in files of their own. holding: the table and the orders likewise. Removal of hop-by-hop fields and handlers with a shared state are in kernel::http once. The planner loses `forget_bounds`, which only a test of a broken rule used: the test opens the planner a minute earlier instead. `Bounds.config` was not used.

--- a/src/core/holding.rs
+++ b/src/core/holding/mod.rs
@@ -14,6 +14,22 @@
 //!   the old planner's renewals are refused there.
 //! - A planner grants only within a bounded time after its claim was confirmed.
 
+mod order;
+mod table;
+
+pub use order::{
+    Answer,
+    Grant,
+    Granted,
+    Release, //
+};
+pub use table::{
+    Claim,
+    Owner,
+    Range,
+    Table, //
+};
+
 use crate::core::{
     roster::Endpoint,
     spread::{
@@ -79,156 +95,6 @@
 /// Capacity assumed of an endpoint that has not served yet, in requests a second.
 const UNKNOWN_CAPACITY: f64 = 20.0;
 
-record! {
-    /// A life of an endpoint.
-    pub struct Owner {
-        /// Endpoint.
-        pub endpoint: Box<str>,
-        /// Start of its process.
-        pub born: u64,
-    }
-
-    /// The VM that plans.
-    #[derive(PartialOrd, Ord)]
-    pub struct Claim {
-        /// Name.
-        pub node: Box<str>,
-        /// Run of its process.
-        pub run: u64,
-    }
-
-    /// Neighbouring keys with one owner.
-    pub struct Range {
-        /// First key.
-        pub from: u16,
-        /// Last key.
-        pub to: u16,
-        /// Owner, if there is one.
-        pub owner: Option<Owner>,
-        /// Owner before, as long as it may hold the keys.
-        pub previous: Option<Owner>,
-        /// Fencing token.
-        pub fence: u64,
-    }
-
-    /// Owners of all keys of a service.
-    pub struct Table {
-        /// Service.
-        pub service: Box<str>,
-        /// Who plans.
-        pub claim: Claim,
-        /// Planners before that may still grant keys to endpoints that only they reach.
-        #[serde(default)]
-        pub earlier: Vec<Claim>,
-        /// Highest fencing token given out.
-        pub last_fence: u64,
-        /// Ranges, sorted; they cover all keys.
-        pub ranges: Vec<Range>,
-    }
-}
-
-impl Table {
-    /// Returns the table with which `claim` becomes the planner.
-    ///
-    /// Every owner keeps its keys under a higher fencing token. `is_gone` tells
-    /// whether the run of a claim has ended for certain.
-    pub fn claimed(
-        old: Option<&Self>,
-        service: &str,
-        claim: Claim,
-        is_gone: &dyn Fn(&Claim) -> bool,
-    ) -> Self {
-        let Some(old) = old else {
-            return Self {
-                service: service.into(),
-                claim,
-                earlier: Vec::new(),
-                last_fence: 0,
-                ranges: vec![Range {
-                    from: 0,
-                    to: u16::MAX,
-                    owner: None,
-                    previous: None,
-                    fence: 0,
-                }],
-            };
-        };
-        let mut table = old.clone();
-        table.earlier.push(old.claim.clone());
-        table
-            .earlier
-            .retain(|earlier| *earlier != claim && !is_gone(earlier));
-        table.earlier.sort();
-        table.earlier.dedup();
-        table.claim = claim;
-        table.last_fence += 1;
-        for range in &mut table.ranges {
-            range.fence = table.last_fence;
-        }
-        table
-    }
-
-    /// Returns the range of a key.
-    pub fn range(&self, key: u16) -> Option<&Range> {
-        let place = self.ranges.partition_point(|range| range.to < key);
-        self.ranges.get(place).filter(|range| range.from <= key)
-    }
-}
-
-/// An order to grant keys.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// First key.
-    pub from: u16,
-    /// Last key.
-    pub to: u16,
-    /// Fencing token.
-    pub fence: u64,
-    /// How long they are held from the arrival of the order.
-    pub hold: Duration,
-    /// What the last holder handed over.
-    pub handover: Option<Box<str>>,
-}
-
-/// An order to give keys back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Release {
-    /// First key.
-    pub from: u16,
-    /// Last key.
-    pub to: u16,
-    /// Fencing token, above that of the grant.
-    pub fence: u64,
-}
-
-/// What an endpoint answered to an order.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// It obeyed; with what it hands over, if it released.
-    Done(Option<Box<str>>),
-    /// It has seen a higher fencing token.
-    Fenced,
-    /// It is not the endpoint that was meant, or cannot read the order.
-    Refused,
-    /// It did not answer in time.
-    Silent,
-    /// It could not be reached.
-    Unreachable,
-    /// The connection had ended; nothing was sent.
-    Ended,
-}
-
-/// What came of one grant.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Granted {
-    /// The order.
-    pub grant: Grant,
-    /// When it was sent.
-    pub sent: Instant,
-    /// What the endpoint answered.
-    pub answer: Answer,
-}
-
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -425,13 +291,6 @@
         self.foreign_until.since(now)
     }
 
-    /// Takes every hold for over, which only a test of this rule may do.
-    pub fn forget_bounds(&mut self, now: Instant) {
-        for piece in &mut self.pieces {
-            piece.bound = now;
-        }
-    }
-
     /// Returns the table in force.
     pub fn table(&self) -> &Table {
         &self.table
--- a/src/core/permit.rs
+++ b/src/core/permit/mod.rs
@@ -17,7 +17,23 @@
 //! - An endpoint that fails is left out for a while, longer each time; never
 //!   more than half of a service at once.
 
+mod flow;
+mod server;
+
 use crate::core::{
+    permit::{
+        flow::{
+            fresh_span_us,
+            Flow,
+            LOAD_SPAN_US, //
+        },
+        server::{
+            Running,
+            Server,
+            BLOCK_RANGE,
+            COLD_FACTOR, //
+        },
+    },
     retry::{
         Bound,
         Budget, //
@@ -49,63 +65,18 @@
 /// Largest slowness that one answer may show, so that one straggler is no verdict.
 const SLOWNESS_SAMPLE_MAX: f64 = 6.0;
 
-/// Slowness of an endpoint that has not answered yet: tried before known ones.
-const SLOWNESS_UNKNOWN: f64 = 0.7;
-
-/// How much longer a cold endpoint takes.
-const COLD_FACTOR: f64 = 2.0;
-
-/// Weight of one outcome in the share of failures of an endpoint.
-const FAILURE_WEIGHT: f64 = 1.0 / 6.0;
-
-/// Share of failures from which an endpoint is left out.
-const FAILURE_LIMIT: f64 = 0.6;
-
-/// How long an endpoint is left out at first and at most.
-const BLOCK_RANGE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(2000));
-
-/// An endpoint is stuck if nothing came from it for so many usual times.
-const STUCK_FACTOR: f64 = 5.0;
-
 /// An answer is overdue after so many usual times.
 const OVERDUE_FACTOR: f64 = 3.0;
 
-/// The time after which an endpoint is stuck at least, in microseconds.
-const STUCK_MIN_US: f64 = 300_000.0;
-
-/// How long an endpoint that did not hold a key is left out: time for a renewal.
-const DOUBT: Duration = Duration::from_millis(60);
-
-/// Time by which a request from another zone has to be better served, in microseconds.
-const ZONE_COST_US: f64 = 10_000.0;
-
-/// The same for each byte of its body: a kilobyte weighs four milliseconds.
-const ZONE_COST_US_PER_BYTE: f64 = 4.0;
-
 /// Body from which a request waits for an endpoint of its own zone, in bytes.
 const LARGE_BODY: u32 = 16 * 1024;
 
 /// How long a large request waits for an endpoint of its own zone.
 const OWN_ZONE_WAIT: Duration = Duration::from_millis(60);
 
-/// What an open connection is worth, in microseconds.
-const WARM_BONUS_US: f64 = 60_000.0;
-
-/// How long a connection is taken to stay open.
-const WARM_FOR: Duration = Duration::from_millis(6_000);
-
 /// Connections that are remembered for each endpoint.
 const WARM_MAX: usize = 24;
 
-/// An endpoint that got no request for so long after it joined is tried before others.
-const NEW_LIMIT: Duration = Duration::from_millis(500);
-
-/// What that is worth, in microseconds.
-const NEW_BONUS_US: f64 = 200_000.0;
-
-/// Span in which the slowness of an endpoint without requests is forgotten, in microseconds.
-const FORGET_SPAN_US: f64 = 5_000_000.0;
-
 /// Times the expected service time that has to be left when a request is taken in.
 ///
 /// Half of all requests take longer than expected.
@@ -117,15 +88,6 @@
 /// Part of the goal that is kept for the way to the caller.
 const GOAL_MARGIN: Duration = Duration::from_millis(10);
 
-/// Span over which the load that callers bring is averaged, in microseconds.
-const LOAD_SPAN_US: f64 = 1_000_000.0;
-
-/// Requests over which the load of work in time is averaged: known to a quarter.
-const FRESH_REQUESTS: f64 = 16.0;
-
-/// Bounds on that span, in microseconds: a few ticks to [`LOAD_SPAN_US`].
-const FRESH_SPAN_US: (f64, f64) = (100_000.0, 1_000_000.0);
-
 /// Least share of capacity that late requests are taken to have.
 const SPARE_LEAST: f64 = 0.02;
 
@@ -307,35 +269,6 @@
     is_late: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Running {
-    ticket: Ticket,
-    class: u32,
-    since: Instant,
-    until: Instant,
-}
-
-#[derive(Clone, Debug)]
-struct Server {
-    id: Box<str>,
-    zone: Box<str>,
-    slots: usize,
-    is_leaving: bool,
-    is_listed: bool,
-    cold_until: Instant,
-    running: Vec<Running>,
-    slowness: f64,
-    samples: u32,
-    failures: f64,
-    misses: u32,
-    blocked_until: Instant,
-    used_at: Instant,
-    answered_at: Instant,
-    warm: Vec<(SocketAddr, Instant)>,
-    load: Flow,
-    fresh: Flow,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Class {
     id: u32,
@@ -1018,127 +951,3 @@
         (self.ask.rank, self.is_late, is_new, by)
     }
 }
-
-impl Server {
-    fn new(endpoint: &Endpoint, now: Instant) -> Self {
-        Self {
-            id: endpoint.id.clone(),
-            zone: endpoint.zone.clone(),
-            slots: usize::from(endpoint.slots),
-            is_leaving: endpoint.is_leaving,
-            is_listed: true,
-            cold_until: now,
-            running: Vec::new(),
-            slowness: SLOWNESS_UNKNOWN,
-            samples: 0,
-            failures: 0.0,
-            misses: 0,
-            blocked_until: Instant::default(),
-            used_at: now,
-            answered_at: now,
-            warm: Vec::new(),
-            load: Flow::default(),
-            fresh: Flow::default(),
-        }
-    }
-
-    fn cold_factor(&self, now: Instant) -> f64 {
-        if now < self.cold_until {
-            COLD_FACTOR
-        } else {
-            1.0
-        }
-    }
-
-    /// How much longer than the mean a request takes here.
-    fn pace(&self, now: Instant) -> f64 {
-        let unused = now.since(self.used_at).as_micros() as f64;
-        let left = (-unused / FORGET_SPAN_US).exp();
-        let slowness = 1.0 + (self.slowness - 1.0) * left;
-        slowness * self.cold_factor(now)
-    }
-
-    /// Tells whether all that runs here takes far longer than it should.
-    fn is_stuck(&self, mean_us: f64, now: Instant) -> bool {
-        let limit = (mean_us * self.pace(now) * STUCK_FACTOR).max(STUCK_MIN_US);
-        let is_old = |running: &Running| {
-            now.since(running.since.max(self.answered_at)).as_micros() as f64 > limit
-        };
-        !self.running.is_empty() && self.running.iter().all(is_old)
-    }
-
-    fn cost(&self, ask: &Ask, asker: SocketAddr, mean: f64, now: Instant) -> f64 {
-        let expected = mean * self.pace(now);
-        let hurry = expected / (ask.goal_us as f64).max(expected);
-        let mut cost = expected * (1.0 + hurry) * (1.0 + 3.0 * self.failures);
-        if self.zone != ask.zone {
-            cost += ZONE_COST_US + ZONE_COST_US_PER_BYTE * f64::from(ask.bytes);
-        }
-        let is_warm =
-            |&(warm, at): &(SocketAddr, Instant)| warm == asker && now.since(at) < WARM_FOR;
-        if self.warm.iter().any(is_warm) {
-            cost -= WARM_BONUS_US;
-        }
-        if self.samples == 0 && now.since(self.used_at) > NEW_LIMIT {
-            cost -= NEW_BONUS_US;
-        }
-        cost
-    }
-
-    fn judge(&mut self, outcome: Outcome, now: Instant) {
-        match outcome {
-            Outcome::Answered => {
-                self.answered_at = now;
-                self.misses = 0;
-                self.failures -= self.failures * FAILURE_WEIGHT;
-            }
-            Outcome::Unreachable | Outcome::Silent => {
-                self.misses += 1;
-                self.block(now);
-            }
-            // Turned away at no cost: others are preferred, none is left out.
-            Outcome::Shed => self.failures += (1.0 - self.failures) * FAILURE_WEIGHT,
-            Outcome::Failed => {
-                self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
-                if self.failures > FAILURE_LIMIT {
-                    self.misses += 1;
-                    self.block(now);
-                }
-            }
-            Outcome::NotHolder => self.blocked_until = now.after(DOUBT),
-            // Judged before, by how long it had.
-            Outcome::Dropped | Outcome::Late => {}
-        }
-    }
-
-    fn block(&mut self, now: Instant) {
-        let doublings = self.misses.saturating_sub(1).min(4);
-        let span = (BLOCK_RANGE.0 * 2_u32.pow(doublings)).min(BLOCK_RANGE.1);
-        self.blocked_until = now.after(span);
-    }
-}
-
-/// Work a second as a share of capacity, a decaying average.
-#[derive(Clone, Copy, Debug, Default)]
-struct Flow {
-    value: f64,
-    span_us: f64,
-    at: Instant,
-}
-
-impl Flow {
-    fn add(&mut self, work_us: f64, span_us: f64, now: Instant) {
-        self.value = self.value(now) + work_us / span_us;
-        self.span_us = span_us;
-        self.at = now;
-    }
-
-    fn value(&self, now: Instant) -> f64 {
-        let passed = now.since(self.at).as_micros() as f64;
-        self.value * (-passed / self.span_us.max(1.0)).exp()
-    }
-}
-
-fn fresh_span_us(work_us: f64) -> f64 {
-    (work_us * FRESH_REQUESTS).clamp(FRESH_SPAN_US.0, FRESH_SPAN_US.1)
-}
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -33,6 +33,7 @@
             collect,
             full,
             json,
+            remove_hop_fields,
             Body, //
         },
     },
@@ -194,7 +195,7 @@
         return Err(Refusal::BadRequest("the request has two lengths"));
     }
     set_origin_form(parts)?;
-    forward::remove_hop_fields(&mut parts.headers);
+    remove_hop_fields(&mut parts.headers);
     parts.headers.remove(EXPECT);
     let internal: Vec<HeaderName> = parts
         .headers
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -26,6 +26,7 @@
     kernel::{
         http::{
             full,
+            remove_hop_fields,
             Body, //
         },
         pool::{
@@ -38,15 +39,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
-    header::{
-        HeaderMap,
-        HeaderName,
-        HeaderValue,
-        CONNECTION,
-        TE,
-        TRANSFER_ENCODING,
-        UPGRADE, //
-    },
+    header::HeaderValue,
     http::request::Parts,
     Response,
     StatusCode, //
@@ -62,9 +55,6 @@
 /// Longest wait for a newer table before the held one is tried again.
 const TABLE_WAIT: Duration = Duration::from_millis(10);
 
-/// Fields that concern one connection only.
-const HOP_FIELDS: [HeaderName; 4] = [CONNECTION, TE, TRANSFER_ENCODING, UPGRADE];
-
 /// A request's body.
 pub enum Payload {
     /// Held whole, so that it can be sent again.
@@ -172,20 +162,3 @@
     }
     response
 }
-
-/// Removes the fields that concern one connection only.
-pub fn remove_hop_fields(headers: &mut HeaderMap) {
-    let listed: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
-        .collect();
-    for name in listed.iter().chain(&HOP_FIELDS) {
-        headers.remove(name);
-    }
-    for name in ["keep-alive", "proxy-connection", "proxy-authorization"] {
-        headers.remove(name);
-    }
-}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -39,7 +39,6 @@
         failure::Error,
         http::{
             self,
-            Handler,
             Limits,
             Listener, //
         },
@@ -53,7 +52,6 @@
 };
 use metrics_exporter_prometheus::PrometheusHandle;
 use std::{
-    future::Future,
     sync::Arc,
     time::Duration, //
 };
@@ -118,9 +116,9 @@
         context,
         listen.peers,
         peer_limits,
-        handler(&state, peer::handle),
+        http::with_state(&state, peer::handle),
     )?;
-    let admin = bind(listen.admin, handler(&state, admin::handle))?;
+    let admin = bind(listen.admin, http::with_state(&state, admin::handle))?;
     let health_state = Arc::clone(&state);
     let health = bind(
         listen.health,
@@ -129,7 +127,7 @@
             Box::pin(async move { answer })
         }),
     )?;
-    let callers = bind(listen.callers, handler(&state, entry::handle))?;
+    let callers = bind(listen.callers, http::with_state(&state, entry::handle))?;
     context.detach(watch::run(Arc::clone(&state)));
     context.detach(watch::run_vms(Arc::clone(&state)));
     context.detach(plan::run(Arc::clone(&state)));
@@ -151,15 +149,6 @@
     })
 }
 
-fn handler<F, A>(state: &Arc<State>, handle: F) -> Handler
-where
-    F: Fn(Arc<State>, hyper::Request<hyper::body::Incoming>) -> A + Send + Sync + 'static,
-    A: Future<Output = hyper::Response<http::Body>> + Send + 'static,
-{
-    let state = Arc::clone(state);
-    Arc::new(move |request| Box::pin(handle(Arc::clone(&state), request)))
-}
-
 impl Daemon {
     /// Stops taking new work, finishes what is in flight and returns the
     /// number of connections that were cut off.
--- a/src/kernel/http.rs
+++ b/src/kernel/http.rs
@@ -21,7 +21,15 @@
 };
 use hyper::{
     body::Incoming,
-    header,
+    header::{
+        self,
+        HeaderMap,
+        HeaderName,
+        CONNECTION,
+        TE,
+        TRANSFER_ENCODING,
+        UPGRADE, //
+    },
     server::conn::{
         http1,
         http2, //
@@ -316,3 +324,34 @@
     let limited = http_body_util::Limited::new(body, limit);
     limited.collect().await.ok().map(|whole| whole.to_bytes())
 }
+
+/// Fields that concern one connection only.
+const HOP_FIELDS: [HeaderName; 4] = [CONNECTION, TE, TRANSFER_ENCODING, UPGRADE];
+
+/// Removes the fields that concern one connection only.
+pub fn remove_hop_fields(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
+        .collect();
+    for name in listed.iter().chain(&HOP_FIELDS) {
+        headers.remove(name);
+    }
+    for name in ["keep-alive", "proxy-connection", "proxy-authorization"] {
+        headers.remove(name);
+    }
+}
+
+/// Makes a handler of a function that shares a state.
+pub fn with_state<S, F, A>(state: &Arc<S>, handle: F) -> Handler
+where
+    S: Send + Sync + 'static,
+    F: Fn(Arc<S>, Request<Incoming>) -> A + Send + Sync + 'static,
+    A: Future<Output = Response<Body>> + Send + 'static,
+{
+    let state = Arc::clone(state);
+    Arc::new(move |request| Box::pin(handle(Arc::clone(&state), request)))
+}
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -14,6 +14,7 @@
     kernel::{
         http::{
             full,
+            remove_hop_fields,
             Body,
             BodyError, //
         },
@@ -39,7 +40,6 @@
         SizeHint, //
     },
     header::{
-        HeaderMap,
         HeaderValue,
         CONTENT_ENCODING, //
     },
@@ -286,11 +286,6 @@
     }
 }
 
-/// Removes the fields that concern one connection only.
-pub fn remove_hop_fields(headers: &mut HeaderMap) {
-    crate::daemon::forward::remove_hop_fields(headers);
-}
-
 /// A body whose start was read already.
 pub struct Prefixed {
     /// What was read.
--- a/src/router/member.rs
+++ b/src/router/member.rs
@@ -111,7 +111,7 @@
         }
     }
     for (name, since) in silent.iter() {
-        if now.since(*since) < sync::forget_after() {
+        if now.since(*since) < sync::FORGET_AFTER {
             continue;
         }
         let Some(revision) = state.revision(Kind::Member, name) else {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -26,7 +26,6 @@
         failure::Error,
         http::{
             self,
-            Handler,
             Limits,
             Listener, //
         },
@@ -43,7 +42,6 @@
 };
 use metrics_exporter_prometheus::PrometheusHandle;
 use std::{
-    future::Future,
     sync::{
         atomic::Ordering,
         Arc, //
@@ -118,7 +116,7 @@
         context,
         listen.peers,
         peer_limits,
-        handler(&state, peer::handle),
+        http::with_state(&state, peer::handle),
     )?;
     let caller_limits = Limits {
         head_time: HEAD_TIME,
@@ -131,7 +129,7 @@
         context,
         listen.callers,
         caller_limits,
-        handler(&state, request::handle),
+        http::with_state(&state, request::handle),
     )?;
     context.detach(datagram::run(Arc::clone(&state)));
     sync::spawn(&state);
@@ -153,15 +151,6 @@
     })
 }
 
-fn handler<F, A>(state: &Arc<State>, handle: F) -> Handler
-where
-    F: Fn(Arc<State>, hyper::Request<hyper::body::Incoming>) -> A + Send + Sync + 'static,
-    A: Future<Output = hyper::Response<http::Body>> + Send + 'static,
-{
-    let state = Arc::clone(state);
-    Arc::new(move |request| Box::pin(handle(Arc::clone(&state), request)))
-}
-
 /// Logs what was done, and keeps the connections to endpoints within their bound.
 async fn summarize(state: Arc<State>) {
     loop {
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -20,7 +20,10 @@
     },
     kernel::{
         clock,
-        http::Body,
+        http::{
+            remove_hop_fields,
+            Body, //
+        },
         runtime::timeout, //
     },
     router::{
@@ -184,7 +187,7 @@
     let part = part.ok_or(Reply::NotRun("no_weight", TRY_MIN))?;
     let service = &route.parts[part].service;
     let is_keyed = view.is_keyed(service);
-    attempt::remove_hop_fields(&mut parts.headers);
+    remove_hop_fields(&mut parts.headers);
     parts.headers.remove(EXPECT);
     let limit = Duration::from_millis(deadline_ms.min(route.timeout_ms));
     let end = began + limit;
--- a/src/router/settings.rs
+++ b/src/router/settings.rs
@@ -32,8 +32,6 @@
     pub grace: Duration,
     /// Time in which a leaving endpoint must see its last request.
     pub drain: Duration,
-    /// Time in which a configuration must be in force.
-    pub config: Duration,
     /// Longest time for which keys may be granted.
     pub hold_max: Duration,
     /// Bound on repeats.
@@ -45,7 +43,6 @@
         Self {
             grace: Duration::from_secs(6),
             drain: Duration::from_secs(2),
-            config: Duration::from_secs(2),
             hold_max: Duration::from_secs(10),
             retry: Bound {
                 share_millis: 200,
--- a/src/router/sync.rs
+++ b/src/router/sync.rs
@@ -87,7 +87,7 @@
 const READ_PAUSE: Duration = Duration::from_millis(900);
 
 /// Silence after which a member's entry is removed.
-const FORGET_AFTER: Duration = Duration::from_secs(12);
+pub const FORGET_AFTER: Duration = Duration::from_secs(12);
 
 /// Runs everything that keeps the copy.
 pub fn spawn(state: &Arc<State>) {
@@ -348,8 +348,3 @@
     }
     state.set_fresh(began);
 }
-
-/// Span after which a silent member is forgotten.
-pub fn forget_after() -> Duration {
-    FORGET_AFTER
-}
--- a/tests/suite/holding/world.rs
+++ b/tests/suite/holding/world.rs
@@ -38,6 +38,9 @@
 /// How often planners tick.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Time after which nothing granted before is left, in microseconds.
+const LONG_AGO_US: u64 = 60_000_000;
+
 /// VMs.
 const VMS: usize = 3;
 
@@ -518,10 +521,13 @@
         }
         self.revision += 1;
         self.stored = Some((table.clone(), self.revision));
-        let mut planner = Planner::open(table, self.revision, HOLD_MAX, self.now);
-        if self.broken == Broken::ForeignHolds {
-            planner.forget_bounds(self.now);
-        }
+        // As if all that others granted were long over.
+        let opened = match self.broken {
+            Broken::ForeignHolds => Instant(now.0.saturating_sub(LONG_AGO_US)),
+            _ => now,
+        };
+        let mut planner = Planner::open(table, self.revision, HOLD_MAX, opened);
+        planner.confirm(now);
         self.vms[vm].planner = Some(planner);
     }
 
