--- a/src/router/desk.rs
+++ b/src/router/desk.rs
@@ -257,7 +257,7 @@
     for start in turn.starts {
         let expected_us = start.expected.as_micros() as u64;
         let go = go(&view, start.ticket.number, &start.endpoint, expected_us);
-        // An endpoint that was removed since is no longer asked for in the next turn.
+        // The endpoint was removed since; the next turn does not give it out.
         let gone = Datagram::No {
             number: start.ticket.number,
             reason: permit::Reason::NoEndpoint,
