--- a/src/core/permit/mod.rs
+++ b/src/core/permit/mod.rs
@@ -462,16 +462,12 @@
         }
         let left = ask.left_us as f64;
         let work_us = estimate.finish_us - estimate.wait_us;
-        let late_us = self.late_wait_us(
-            ask,
-            now.after(Duration::from_micros(ask.left_us)),
-            locate,
-            now,
-        );
         let late_us = if estimate.wait_us == 0.0 {
+            // A slot is free for it.
             0.0
         } else {
-            late_us
+            let deadline = now.after(Duration::from_micros(ask.left_us));
+            self.late_wait_us(ask, deadline, locate, now)
         };
         let may_wait = late_us <= left * ask.wait_part() && late_us + work_us <= left;
         if may_wait && self.waiting.len() < WAITING_MAX {
