--- a/tests/suite/permit.rs
+++ b/tests/suite/permit.rs
@@ -423,6 +423,36 @@
     );
 }
 
+#[test]
+fn callers_with_long_deadlines_do_not_make_others_late() {
+    // A fifth of the callers wait for 30 s, the others for 2.5 s. None has waited.
+    let mut estimator = Estimator::default();
+    let usual_ms = DEADLINE.as_millis() as u64;
+    for number in 0..1_000 {
+        let deadline_ms = if number % 5 == 0 { 30_000 } else { usual_ms };
+        let min_wait = estimator.min_wait(1, deadline_ms);
+        if number >= 100 {
+            assert_eq!(min_wait, Duration::ZERO, "caller {number}");
+        }
+    }
+}
+
+#[test]
+fn wave_of_delayed_callers_is_recognized_to_its_end() {
+    // A wave must not become the usual case while it lasts, even if some callers send
+    // no deadline.
+    let mut estimator = Estimator::default();
+    let usual_ms = DEADLINE.as_millis() as u64;
+    for number in 0..1_000 {
+        let deadline_ms = if number % 50 == 0 { 30_000 } else { usual_ms };
+        estimator.min_wait(1, deadline_ms);
+    }
+    for number in 0..100 {
+        let min_wait = estimator.min_wait(1, usual_ms - 1_200);
+        assert!(min_wait >= GOAL, "caller {number}: {min_wait:?}");
+    }
+}
+
 #[test]
 fn retry_is_matched_by_subject_and_give_up_time() {
     // Guards against taking callers that wait less long than others for retries: the
