Take no restart of an endpoint as proof that its keys are free

Meanwhile its keys were on their way to another endpoint and the owner was restarted, which ended the wait for it at once. The late grant reached the new process, which had no fencing token to refuse it.

Ruled out: checking a grant again just before it is sent, which leaves the time between the check and the write; and dropping connections at a restart, as the planner may learn of it later than a new connection is opened.

Change: keys on their way are released by the restarted process too, or its lease runs out. Besides, a planner whose claim was taken yields only once the outcome of its last grant is known; found by reading.

--- a/src/core/ownership/mod.rs
+++ b/src/core/ownership/mod.rs
@@ -14,7 +14,9 @@
 //!   therefore bounds its end by the time at which it sent the grant, the
 //!   longest delivery time and the slowest permitted clock.
 //! - A reachable owner gives up keys by a release; the lease of an unreachable
-//!   owner has to expire. Only then is the next owner granted the keys.
+//!   owner has to expire. Only then is the next owner granted the keys. This also
+//!   holds for an owner that was restarted: a grant that was sent late may have
+//!   reached the new process, which accepts any fencing token at first.
 //! - Each change of owner gets a fencing token above all earlier ones, which is
 //!   stored before it is used. A new planner raises the token at every owner,
 //!   so the owner refuses further renewals by the previous planner.
@@ -328,12 +330,17 @@
 
     /// Handles the notice of a newer planner that it took the claim at `revision`.
     ///
-    /// Returns whether this planner sends no more grants because of it.
+    /// Returns whether no grant of this planner can arrive at an endpoint any more.
     pub fn on_successor_claimed(&mut self, revision: u64) -> bool {
         if revision > self.revision {
             self.set_outdated();
         }
-        self.is_outdated
+        self.is_outdated && !self.has_pending_grants()
+    }
+
+    /// Returns whether grants were sent of which the outcome is not known yet.
+    pub fn has_pending_grants(&self) -> bool {
+        self.sessions.iter().any(|session| session.is_grant_pending)
     }
 
     /// Returns how long earlier planners may still send grants.
@@ -553,13 +560,9 @@
                 continue;
             };
             let session = self.session(&previous.endpoint);
-            // A restarted process proves that the previous one has ended.
-            let is_restarted = session
-                .is_some_and(|session| session.is_listed && session.endpoint.born != previous.born);
-            // A pending grant may still extend the lease.
-            let is_expired =
-                now >= *expires_at && session.is_none_or(|session| !session.is_grant_pending);
-            if is_expired || is_restarted {
+            // A pending grant may still extend the lease. It may do so even after a restart of
+            // the endpoint, which forgets all fencing tokens, so a restart does not end a lease.
+            if now >= *expires_at && session.is_none_or(|session| !session.is_grant_pending) {
                 self.begin_granting(index, None, now);
             }
         }
--- a/src/router/planner.rs
+++ b/src/router/planner.rs
@@ -415,11 +415,31 @@
         }
         sleep(TICK_INTERVAL).await;
     }
+    wait_for_pending_grants(&job).await;
     let planner = job.inner.lock().unwrap().planner.take();
     let revision = planner.map_or(0, |planner| planner.revision());
     log::info!("event=claim_lost service={service} revision={revision}");
 }
 
+/// Stops the planner, and waits until none of its grants can arrive at an endpoint any more.
+///
+/// Only then may this VM report that it grants no more keys.
+async fn wait_for_pending_grants(job: &Job) {
+    loop {
+        {
+            let mut inner = job.inner.lock().unwrap();
+            let Some(planner) = &mut inner.planner else {
+                return;
+            };
+            planner.set_outdated();
+            if !planner.has_pending_grants() {
+                return;
+            }
+        }
+        sleep(TICK_INTERVAL).await;
+    }
+}
+
 /// Tells the planner which earlier planners have ended.
 fn remove_ended_predecessors(state: &State, job: &Job) {
     let view = state.view();
