Log and count the rate limits that endpoints name

A response with a limit now leaves event=rate_limit and counts in rhubarbpick_rate_limited_answers_total. Nothing acts on it yet.

--- a/src/edge/fields.rs
+++ b/src/edge/fields.rs
@@ -18,6 +18,8 @@
     pub signature: HeaderName,
     /// Set when the endpoint did not run the request.
     pub not_run: HeaderName,
+    /// Most requests per second that the endpoint that sent the response takes from all VMs.
+    pub rate_limit: HeaderName,
     /// Key of the request.
     pub key: HeaderName,
 }
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -40,6 +40,7 @@
         SizeHint, //
     },
     header::{
+        HeaderMap,
         HeaderValue,
         CONTENT_ENCODING, //
     },
@@ -202,17 +203,21 @@
             };
         }
     };
-    validate(state, call, response).await
+    validate(state, call, endpoint, response).await
 }
 
 async fn validate(
     state: &Arc<State>,
     call: &Call<'_>,
+    endpoint: &Endpoint,
     response: Response<pool::Stream>,
 ) -> Completion {
     let fields = &state.fields;
     let headers = response.headers();
     let is_matching = headers.get(&fields.request_id) == Some(call.id);
+    if is_matching {
+        log_rate_limit(state, endpoint, headers);
+    }
     let status = response.status();
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Completion::NotHolder;
@@ -234,6 +239,24 @@
     read_body(call, response).await
 }
 
+/// Logs and counts the rate limit that an endpoint names in its response.
+fn log_rate_limit(state: &State, endpoint: &Endpoint, headers: &HeaderMap) {
+    let Some(limit) = headers.get(&state.fields.rate_limit) else {
+        return;
+    };
+    metrics::counter!(
+        "rhubarbpick_rate_limited_answers_total",
+        "service" => endpoint.service.to_string()
+    )
+    .increment(1);
+    log::info!(
+        "event=rate_limit endpoint={} service={} per_s=\"{}\"",
+        endpoint.id,
+        endpoint.service,
+        limit.to_str().unwrap_or("unreadable")
+    );
+}
+
 /// Reads the response body, completely if it is short.
 async fn read_body(call: &Call<'_>, response: Response<pool::Stream>) -> Completion {
     let (mut parts, mut body) = response.into_parts();
--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -113,6 +113,7 @@
         target: HeaderName::from_static("x-target"),
         signature: HeaderName::from_static("x-signature"),
         not_run: HeaderName::from_static("x-not-run"),
+        rate_limit: HeaderName::from_static("x-limit"),
         key: HeaderName::from_static("x-key"),
     }
 }
