--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -367,6 +367,87 @@
     assert!(began.elapsed() < Duration::from_millis(1_500));
 }
 
+/// Time after which an endpoint's rate limit has to hold, and the window in which the platform's
+/// users count the requests.
+const LIMIT_GRACE: Duration = Duration::from_secs(3);
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Sends requests through `vms` at about 25 per second each until `end`.
+fn load(system: &System, vms: &[usize], end: Instant) {
+    thread::scope(|scope| {
+        for (index, &vm) in vms.iter().enumerate() {
+            for (path, interval_ms) in [("/view/x", 40), ("/read/x", 40)] {
+                let pool = pool::open(&system.context, system.caller_address(vm), 64);
+                let send = move |number: u64| {
+                    let request = Request::builder()
+                        .uri(path)
+                        .header("host", "host")
+                        .header("x-id", format!("{index}{path}{number}"))
+                        .header("x-deadline", "600")
+                        .header("x-key", (number * 7_919 % 65_536).to_string());
+                    let (request, pool) = (request.body(full("")).unwrap(), Arc::clone(&pool));
+                    async move {
+                        if let Ok(response) = pool.send(request, Duration::from_secs(1)).await {
+                            let _ = response.into_body().collect().await;
+                        }
+                    }
+                };
+                scope.spawn(move || {
+                    let mut number = 0;
+                    while Instant::now() < end {
+                        number += 1;
+                        system.context.detach(send(number));
+                        thread::sleep(Duration::from_millis(interval_ms));
+                    }
+                });
+            }
+        }
+    });
+}
+
+/// Asserts that no window of [`LIMIT_WINDOW`] after `since` has more arrivals than the platform's
+/// users allow, and that at least half of the limit is used.
+fn assert_rate(server: &Server, per_s: f64, since: Instant) {
+    let arrivals = server.arrivals.lock().unwrap();
+    let counted: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= since).collect();
+    let allowed = 1.5 * per_s * LIMIT_WINDOW.as_secs_f64() + 5.0;
+    for (index, first) in counted.iter().enumerate() {
+        let in_window = counted[index..].iter();
+        let count = in_window
+            .take_while(|at| **at < *first + LIMIT_WINDOW)
+            .count();
+        assert!(
+            count as f64 <= allowed,
+            "{} named {per_s} requests a second and got {count} in {LIMIT_WINDOW:?}; allowed \
+             {allowed}",
+            server.endpoint.id
+        );
+    }
+    let used = counted.len() as f64 / since.elapsed().as_secs_f64();
+    assert!(
+        used >= per_s / 2.0,
+        "{} named {per_s} requests a second and got only {used:.1}",
+        server.endpoint.id
+    );
+}
+
+#[test]
+fn endpoint_rate_limit_is_shared_by_all_vms() {
+    const PER_S: f64 = 3.0;
+    let system = System::start("limit", 4);
+    let servers = || system.keyed.iter().chain(&system.pool);
+    servers().for_each(|server| server.set_rate_limit(Some(PER_S)));
+    let began = Instant::now();
+    load(
+        &system,
+        &[0, 1, 2, 3],
+        began + LIMIT_GRACE + LIMIT_WINDOW * 2,
+    );
+    for server in servers() {
+        assert_rate(server, PER_S, began + LIMIT_GRACE);
+    }
+}
+
 #[test]
 fn overdue_idempotent_request_is_hedged() {
     let mut system = System::start("overdue", 2);
--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -301,6 +301,9 @@
     pub endpoint: Endpoint,
     /// Identities of the requests that were run.
     pub runs: Mutex<Vec<Box<str>>>,
+    /// When each request arrived.
+    pub arrivals: Mutex<Vec<Instant>>,
+    rate_limit: Mutex<Option<f64>>,
     mode: Mutex<Mode>,
     is_running: AtomicBool,
     leases: Mutex<Vec<(u16, u16, u64, Instant)>>,
@@ -332,6 +335,8 @@
         let server = Arc::new(Self {
             endpoint: endpoint.clone(),
             runs: Mutex::default(),
+            arrivals: Mutex::default(),
+            rate_limit: Mutex::default(),
             mode: Mutex::new(Mode::Normal),
             is_running: AtomicBool::new(true),
             leases: Mutex::default(),
@@ -360,6 +365,11 @@
         *self.mode.lock().unwrap() = mode;
     }
 
+    /// Names a limit, in requests per second, in all answers from now on, or names none.
+    pub fn set_rate_limit(&self, per_s: Option<f64>) {
+        *self.rate_limit.lock().unwrap() = per_s;
+    }
+
     /// Stops the endpoint without notice.
     pub fn crash(&self) {
         self.is_running.store(false, Ordering::SeqCst);
@@ -377,6 +387,16 @@
     }
 
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        self.arrivals.lock().unwrap().push(Instant::now());
+        let mut response = self.serve(request).await;
+        if let Some(per_s) = *self.rate_limit.lock().unwrap() {
+            let value = HeaderValue::from_str(&per_s.to_string()).unwrap();
+            response.headers_mut().insert(fields().rate_limit, value);
+        }
+        response
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
         let fields = fields();
         let text = |name: &HeaderName| {
             let value = request.headers().get(name);
