Test that the keys of a rate-limited endpoint are served by others

This test rules out one reason: that the keys stay where the limit is. One of three endpoints names 3 requests a second; the others have room for all. After the 3 s from which the limit has to hold, at least 95 % of the keyed requests succeed: all of them fit, some meet keys on their way. It passes on the code as it is, so the refusals have another cause: still open.

--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -56,7 +56,10 @@
         UdpSocket, //
     },
     sync::{
-        atomic::Ordering,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
         Arc, //
     },
     thread,
@@ -372,12 +375,15 @@
 const LIMIT_GRACE: Duration = Duration::from_secs(3);
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 
-/// Sends requests through `vms` at about 25 per second each until `end`.
-fn load(system: &System, vms: &[usize], end: Instant) {
+/// Sends requests of each kind through `vms` at about 25 per second each until `end`; returns the
+/// share of the keyed ones that succeeded.
+fn load(system: &System, vms: &[usize], end: Instant) -> f64 {
+    let counts = Arc::new([AtomicUsize::new(0), AtomicUsize::new(0)]);
     thread::scope(|scope| {
         for (index, &vm) in vms.iter().enumerate() {
             for (path, interval_ms) in [("/view/x", 40), ("/read/x", 40)] {
                 let pool = pool::open(&system.context, system.caller_address(vm), 64);
+                let counts = Arc::clone(&counts);
                 let send = move |number: u64| {
                     let request = Request::builder()
                         .uri(path)
@@ -386,10 +392,18 @@
                         .header("x-deadline", "600")
                         .header("x-key", (number * 7_919 % 65_536).to_string());
                     let (request, pool) = (request.body(full("")).unwrap(), Arc::clone(&pool));
+                    let counts = Arc::clone(&counts);
                     async move {
-                        if let Ok(response) = pool.send(request, Duration::from_secs(1)).await {
+                        let response = pool.send(request, Duration::from_secs(1)).await;
+                        let mut is_success = false;
+                        if let Ok(response) = response {
+                            is_success = response.status().is_success();
                             let _ = response.into_body().collect().await;
                         }
+                        if path == "/view/x" {
+                            counts[0].fetch_add(usize::from(is_success), Ordering::SeqCst);
+                            counts[1].fetch_add(1, Ordering::SeqCst);
+                        }
                     }
                 };
                 scope.spawn(move || {
@@ -403,6 +417,8 @@
             }
         }
     });
+    let [succeeded, sent] = &*counts;
+    succeeded.load(Ordering::SeqCst) as f64 / sent.load(Ordering::SeqCst).max(1) as f64
 }
 
 /// Asserts that no window of [`LIMIT_WINDOW`] after `since` has more arrivals than the platform's
@@ -448,6 +464,19 @@
     }
 }
 
+#[test]
+fn keys_of_a_rate_limited_endpoint_are_served_by_others() {
+    const PER_S: f64 = 3.0;
+    let system = System::start("limit-one", 2);
+    system.keyed[0].set_rate_limit(Some(PER_S));
+    load(&system, &[0, 1], Instant::now() + LIMIT_GRACE);
+    let share = load(&system, &[0, 1], Instant::now() + LIMIT_WINDOW);
+    assert!(
+        share >= 0.95,
+        "only {share:.3} of the keyed requests succeeded"
+    );
+}
+
 #[test]
 fn endpoint_rate_limit_holds_when_dispatchers_are_replaced() {
     const PER_S: f64 = 3.0;
