--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -6,6 +6,11 @@
 //! older state. A removal is kept as an entry with the revision at which it was
 //! seen.
 //!
+//! The store can be restored from an old copy, which a higher era in its
+//! revisions shows. What it then holds is newer by revision but may be older in
+//! content. The content that is known to be later is kept, under the new
+//! revision.
+//!
 //! Each mirror numbers its changes. Another VM sends the last number that it
 //! has received and gets the changes after it.
 
@@ -16,6 +21,7 @@
         Endpoint,
         Member, //
     },
+    revision,
 };
 use std::sync::Arc;
 
@@ -45,6 +51,36 @@
     }
 }
 
+impl Object {
+    /// Returns the object as it is known after it replaces `known`.
+    fn supersede(mut self, known: &Self) -> Self {
+        let is_restored = revision::era(self.revision) > revision::era(known.revision);
+        let is_known_later = match (&known.value, &mut self.value) {
+            (Some(Value::Manifest(known)), Some(Value::Manifest(new))) => {
+                known.version > new.version
+            }
+            (Some(Value::Table(known)), Some(Value::Table(new))) => {
+                (known.era, known.last_fence) > (new.era, new.last_fence)
+            }
+            (Some(Value::Member(known)), Some(Value::Member(new))) => {
+                is_restored && known.run > new.run
+            }
+            (Some(Value::Endpoint(known)), Some(Value::Endpoint(new))) => {
+                // A process that is leaving does not come back.
+                if is_restored && known.is_leaving && known.born == new.born {
+                    Arc::make_mut(new).is_leaving = true;
+                }
+                false
+            }
+            _ => false,
+        };
+        if is_known_later {
+            self.value = known.value.clone();
+        }
+        self
+    }
+}
+
 /// All kinds of objects.
 pub const KINDS: [Kind; 4] = [Kind::Manifest, Kind::Endpoint, Kind::Member, Kind::Table];
 
@@ -87,6 +123,7 @@
 pub struct Mirror {
     entries: Vec<Entry>,
     last_change: u64,
+    era: u64,
 }
 
 impl Mirror {
@@ -95,8 +132,14 @@
         self.last_change
     }
 
+    /// Returns the era of the latest revision.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
     /// Stores an object if it is newer than the known version; returns whether it was.
-    pub fn merge(&mut self, object: Object) -> bool {
+    pub fn merge(&mut self, mut object: Object) -> bool {
+        self.era = self.era.max(revision::era(object.revision));
         let position = self.position(object.kind, &object.name);
         if let Ok(index) = position {
             let known = &self.entries[index].object;
@@ -108,6 +151,7 @@
             if !is_newer {
                 return false;
             }
+            object = object.supersede(known);
         }
         self.last_change += 1;
         let entry = Entry {
@@ -123,22 +167,26 @@
 
     /// Merges the complete list of the objects of a kind at revision `as_of`.
     ///
-    /// If `remove_missing` is set, objects that are not in the list are removed.
-    /// Returns whether anything changed.
+    /// If `is_settled` is not set, the list may lack objects that are about to be
+    /// written again, and may hold some that were removed before the store was
+    /// restored: neither is followed. Returns whether anything changed.
     pub fn merge_list(
         &mut self,
         kind: Kind,
         objects: Vec<Object>,
         as_of: u64,
-        remove_missing: bool,
+        is_settled: bool,
     ) -> bool {
+        self.era = self.era.max(revision::era(as_of));
         let mut names: Vec<Box<str>> = objects.iter().map(|object| object.name.clone()).collect();
         names.sort_unstable();
         let mut is_changed = false;
         for object in objects {
-            is_changed |= self.merge(object);
+            if is_settled || !self.is_revived(&object) {
+                is_changed |= self.merge(object);
+            }
         }
-        if !remove_missing {
+        if !is_settled {
             return is_changed;
         }
         let present = self.objects(kind).map(|object| object.name.clone());
@@ -156,6 +204,15 @@
         is_changed
     }
 
+    /// Returns whether an object was removed before the store was restored to a state that has it.
+    fn is_revived(&self, object: &Object) -> bool {
+        let Ok(index) = self.position(object.kind, &object.name) else {
+            return false;
+        };
+        let known = &self.entries[index].object;
+        known.value.is_none() && revision::era(object.revision) > revision::era(known.revision)
+    }
+
     /// Returns the objects that changed after the change `number`.
     pub fn changes_since(&self, number: u64) -> Vec<Object> {
         let later = self.entries.iter().filter(|entry| entry.change > number);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,6 +25,7 @@
 pub mod renewers;
 pub mod retry_budget;
 pub mod retry_limit;
+pub mod revision;
 pub mod shard;
 pub mod table;
 pub mod ticket;
--- a/src/core/ownership/mod.rs
+++ b/src/core/ownership/mod.rs
@@ -22,6 +22,12 @@
 //!   so the owner refuses further renewals by the previous planner.
 //! - A planner sends grants only for a bounded time after its claim was last
 //!   confirmed.
+//! - If the store was restored from an old copy, keys may be held that the table
+//!   gives to others. The next planner therefore grants nothing until each other
+//!   process has told that it stopped planning, and what it planned. If the table
+//!   does not include all of that, or a process was started lately or does not
+//!   answer, it waits until all leases from before have expired. Its fencing tokens are above all those
+//!   of earlier eras of the store.
 //! - No lease is longer than the table allows. A planner that needs longer ones
 //!   writes a table that allows them first, so its successor knows how long the
 //!   leases of endpoints that it cannot reach may last.
@@ -36,8 +42,13 @@
     Release, //
 };
 pub use table::{
+    is_restored,
+    possible_planners,
+    Basis,
     Claim,
+    History,
     Owner,
+    Planned,
     Range,
     Table, //
 };
@@ -83,6 +94,9 @@
 /// during an outage.
 pub const CLAIM_VALIDITY: Duration = Duration::from_secs(12);
 
+/// Time within which the other VMs usually tell what they planned before a restore of the store.
+const VERIFICATION_TIME: Duration = Duration::from_millis(250);
+
 /// Time without an answer after which an endpoint gets no grants until it answers a probe.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(380);
 
@@ -221,6 +235,12 @@
     predecessors: Vec<Claim>,
     /// Time by which the last of them has to stop.
     predecessors_until: Instant,
+    /// Time until which no keys are granted, since they may have owners that an unverified table
+    /// does not name.
+    barred_until: Instant,
+    /// Whether an earlier planner may have granted keys after the basis of an unverified table.
+    is_diverged: bool,
+    claimed_at: Instant,
     max_lease_duration: Duration,
     /// Changes of the table that is being written.
     changes: Vec<Change>,
@@ -269,6 +289,12 @@
             claim_revision: revision,
             predecessors: table.earlier.clone(),
             predecessors_until,
+            barred_until: match table.unverified {
+                Some(_) => lease_end,
+                None => Instant::default(),
+            },
+            is_diverged: false,
+            claimed_at: now,
             max_lease_duration,
             changes: Vec::new(),
             last_fence: table.last_fence,
@@ -288,17 +314,72 @@
     ///
     /// A notice with a revision before this planner's claim is ignored, since
     /// its sender may have taken the claim again after that revision.
-    pub fn on_predecessor_yielded(&mut self, claim: &Claim, revision: u64, now: Instant) {
-        if revision >= self.claim_revision {
-            self.remove_ended_predecessors(&|other| other == claim, now);
+    pub fn on_predecessor_yielded(
+        &mut self,
+        claim: &Claim,
+        revision: u64,
+        history: History,
+        now: Instant,
+    ) {
+        if revision < self.claim_revision || !self.predecessors.contains(claim) {
+            return;
+        }
+        self.verify(claim, history);
+        self.remove_predecessors(&|other| other == claim, now);
+    }
+
+    /// Checks the basis of an unverified table against what this process planned before it took
+    /// the claim.
+    pub fn on_own_history(&mut self, history: History, now: Instant) {
+        self.verify(&self.table.claim.clone(), history);
+        if self.predecessors.is_empty() {
+            self.finish_verification(now);
+        }
+    }
+
+    /// Returns what this planner may have leased; `None` if it has not granted any keys yet.
+    pub fn planned(&self, now: Instant) -> Option<Planned> {
+        (now >= self.barred_until).then_some(Planned {
+            last_fence: self.table.last_fence,
+            lease_ms: self.table.lease_ms,
+        })
+    }
+
+    fn verify(&mut self, planner: &Claim, history: History) {
+        let Some(basis) = &mut self.table.unverified else {
+            return;
+        };
+        // An earlier run of the VM may have granted keys until the present one was started.
+        let uptime = Duration::from_millis(history.uptime_ms);
+        self.is_diverged |= uptime < max_time_to_expiry(MAX_LEASE_DURATION);
+        if let Some(planned) = history.planned {
+            self.is_diverged |= !basis.includes(planner, planned);
+            basis.lease_ms = basis.lease_ms.max(planned.lease_ms);
         }
     }
 
+    /// Ends the wait for the leases from before a restore of the store if the table includes all
+    /// of them.
+    fn finish_verification(&mut self, now: Instant) {
+        if let (Some(basis), false) = (&self.table.unverified, self.is_diverged) {
+            self.table.lease_ms = basis.lease_ms;
+            self.barred_until = now;
+        }
+    }
+
+    /// Removes the earlier planners of which the process has ended.
+    ///
+    /// They cannot tell any more what they planned.
+    pub fn remove_ended_predecessors(&mut self, has_ended: &dyn Fn(&Claim) -> bool, now: Instant) {
+        self.is_diverged |= self.predecessors.iter().any(has_ended);
+        self.remove_predecessors(has_ended, now);
+    }
+
     /// Removes the earlier planners that can no longer send grants.
     ///
     /// Once none is left, all leases that they granted expire within the longest
     /// lease that the table allows.
-    pub fn remove_ended_predecessors(&mut self, has_ended: &dyn Fn(&Claim) -> bool, now: Instant) {
+    fn remove_predecessors(&mut self, has_ended: &dyn Fn(&Claim) -> bool, now: Instant) {
         if self.predecessors.is_empty() || now >= self.predecessors_until {
             return;
         }
@@ -307,7 +388,9 @@
             return;
         }
         self.predecessors_until = now;
+        self.finish_verification(now);
         let latest = now.after(max_time_to_expiry(self.table.longest_lease()));
+        self.barred_until = self.barred_until.min(latest);
         for segment in &mut self.segments {
             segment.lease_end = segment.lease_end.min(latest);
             segment.prior_lease_end = segment
@@ -411,6 +494,14 @@
 
     /// Returns the ownership of a key.
     pub fn key_status(&self, key: u16, now: Instant) -> Status<'_> {
+        if now < self.barred_until {
+            let verified_at = self.claimed_at.after(VERIFICATION_TIME);
+            let until = match self.is_diverged || now >= verified_at {
+                true => self.barred_until.after(TIMER_MARGIN),
+                false => verified_at,
+            };
+            return Status::Unowned(time_until(until, now));
+        }
         let index = self.segments.partition_point(|segment| segment.to < key);
         let Some(segment) = self.segments.get(index) else {
             return Status::Unowned(MIN_LEASE_DURATION);
@@ -492,13 +583,13 @@
     ) -> Vec<Action> {
         self.update_sessions(endpoints, now);
         let mut actions = Vec::new();
-        if !self.is_claim_valid(now) {
+        if !self.is_claim_valid(now) || now < self.barred_until {
             return actions;
         }
         self.finish_revocations(now);
         if !self.is_write_pending && now >= self.next_write {
             self.plan_changes(rates, capacity, now);
-            if !self.changes.is_empty() {
+            if !self.changes.is_empty() || self.table.unverified.is_some() {
                 self.is_write_pending = true;
                 actions.push(Action::Write(self.changed_table(now)));
             }
@@ -760,12 +851,20 @@
         }
         merge_adjacent(&mut segments);
         let wanted_lease_ms = self.wanted_lease_duration(segments.len()).as_millis() as u64;
+        // All leases from before have expired if an unverified table did not include them.
+        let longest_lease_ms = match (&self.table.unverified, self.is_diverged) {
+            (Some(_), true) => wanted_lease_ms,
+            _ => self.table.lease_ms.max(wanted_lease_ms),
+        };
         Table {
             service: self.table.service.clone(),
             claim: self.table.claim.clone(),
+            era: self.table.era,
+            claim_fence: self.table.claim_fence,
+            unverified: None,
             earlier: self.predecessors(now).to_vec(),
             last_fence: self.last_fence,
-            lease_ms: self.table.lease_ms.max(wanted_lease_ms),
+            lease_ms: longest_lease_ms,
             ranges: segments.iter().map(Segment::to_range).collect(),
         }
     }
--- a/src/core/ownership/table.rs
+++ b/src/core/ownership/table.rs
@@ -6,6 +6,12 @@
 };
 use std::time::Duration;
 
+/// Era of a store that was never restored.
+const FIRST_ERA: u64 = 1;
+
+/// Number of bits for the fencing tokens of one era of the store.
+const FENCE_BITS: u32 = 32;
+
 record! {
     /// One run of an endpoint's process.
     pub struct Owner {
@@ -24,6 +30,37 @@
         pub run: u64,
     }
 
+    /// What a process may have leased as the planner of a service.
+    #[derive(Copy)]
+    pub struct Planned {
+        /// Highest fencing token of its last table.
+        pub last_fence: u64,
+        /// Longest lease that its last table allowed, in milliseconds.
+        pub lease_ms: u64,
+    }
+
+    /// What a process tells of the time before a claim of another process.
+    #[derive(Copy)]
+    pub struct History {
+        /// What it planned last, if anything.
+        pub planned: Option<Planned>,
+        /// Time since its start, in milliseconds. Earlier runs of the VM granted nothing since
+        /// then.
+        pub uptime_ms: u64,
+    }
+
+    /// Identifies the table that a claim in a later era of the store started from.
+    pub struct Basis {
+        /// Planner that wrote it.
+        pub claim: Claim,
+        /// Fencing token with which that planner took the claim.
+        pub claim_fence: u64,
+        /// Its highest fencing token.
+        pub last_fence: u64,
+        /// Longest lease that it allowed, in milliseconds.
+        pub lease_ms: u64,
+    }
+
     /// A range of adjacent keys with one owner.
     pub struct Range {
         /// First key.
@@ -47,6 +84,16 @@
         /// Earlier planners that may still grant keys to endpoints that only they can reach.
         #[serde(default)]
         pub earlier: Vec<Claim>,
+        /// Era of the store in which the claim was made.
+        #[serde(default)]
+        pub era: u64,
+        /// Fencing token with which the planner took the claim.
+        #[serde(default)]
+        pub claim_fence: u64,
+        /// What the table started from, if keys may have other owners than it says, since the
+        /// store was restored from an old copy.
+        #[serde(default)]
+        pub unverified: Option<Basis>,
         /// Highest fencing token issued so far.
         pub last_fence: u64,
         /// Longest lease that any planner may have granted so far, in milliseconds.
@@ -57,23 +104,65 @@
     }
 }
 
+impl Basis {
+    /// Returns the basis for a service of which no table is known.
+    fn unknown() -> Self {
+        Self {
+            claim: Claim::unknown(),
+            claim_fence: 0,
+            last_fence: 0,
+            lease_ms: MIN_LEASE_DURATION.as_millis() as u64,
+        }
+    }
+
+    /// Returns whether this table includes all that a process leased as planner.
+    ///
+    /// A planner raises the fencing token when it takes the claim, so a claim with a higher one
+    /// than another planner ever used was made with that planner's last table known.
+    pub fn includes(&self, planner: &Claim, planned: Planned) -> bool {
+        if *planner == self.claim {
+            self.last_fence >= planned.last_fence
+        } else {
+            self.claim_fence > planned.last_fence
+        }
+    }
+}
+
+impl Claim {
+    /// Returns the claim of a process that is not known; it never ends.
+    pub fn unknown() -> Self {
+        Self {
+            node: "".into(),
+            run: 0,
+        }
+    }
+}
+
 impl Table {
     /// Returns the table that makes `claim` the planner.
     ///
-    /// Every owner keeps its keys under a higher fencing token. `has_ended`
-    /// returns whether the process behind a claim has certainly ended.
+    /// Every owner keeps its keys under a higher fencing token. `era` is that of
+    /// the store, and `others` are the processes that may have planned the service
+    /// in an earlier era, see [`possible_planners`]. `has_ended` returns whether
+    /// the process behind a claim has certainly ended.
     pub fn claimed(
         current: Option<&Self>,
         service: &str,
         claim: Claim,
+        era: u64,
+        others: &[Claim],
         has_ended: &dyn Fn(&Claim) -> bool,
     ) -> Self {
+        let is_restored = is_restored(current, era);
         let Some(current) = current else {
             return Self {
                 service: service.into(),
+                earlier: others.iter().filter(|_| is_restored).cloned().collect(),
                 claim,
-                earlier: Vec::new(),
-                last_fence: 0,
+                era,
+                claim_fence: era << FENCE_BITS,
+                unverified: is_restored.then(Basis::unknown),
+                last_fence: era << FENCE_BITS,
                 lease_ms: MIN_LEASE_DURATION.as_millis() as u64,
                 ranges: vec![Range {
                     from: 0,
@@ -86,19 +175,38 @@
         };
         let mut table = current.clone();
         table.earlier.push(current.claim.clone());
+        if is_restored {
+            table.unverified.get_or_insert_with(|| current.basis());
+            table.era = era;
+            table.lease_ms = longest_lease_ms();
+        }
+        if table.unverified.is_some() {
+            table.earlier.extend_from_slice(others);
+        }
         table
             .earlier
             .retain(|earlier| *earlier != claim && !has_ended(earlier));
         table.earlier.sort();
         table.earlier.dedup();
         table.claim = claim;
-        table.last_fence += 1;
+        // Fencing tokens that were issued after the copy was made are not known.
+        table.last_fence = (table.last_fence + 1).max(era << FENCE_BITS);
+        table.claim_fence = table.last_fence;
         for range in &mut table.ranges {
             range.fence = table.last_fence;
         }
         table
     }
 
+    fn basis(&self) -> Basis {
+        Basis {
+            claim: self.claim.clone(),
+            claim_fence: self.claim_fence,
+            last_fence: self.last_fence,
+            lease_ms: self.lease_ms,
+        }
+    }
+
     /// Returns the longest lease that any planner may have granted so far.
     pub fn longest_lease(&self) -> Duration {
         Duration::from_millis(self.lease_ms).min(MAX_LEASE_DURATION)
@@ -111,6 +219,29 @@
     }
 }
 
+/// Returns whether the known table of a service, if there is one, may lack changes because the
+/// store was restored before the present era.
+pub fn is_restored(table: Option<&Table>, era: u64) -> bool {
+    // A store that was never restored has lost no table.
+    table.map_or(era > FIRST_ERA, |table| table.era < era)
+}
+
+/// Returns the processes other than `own` that may have planned a service in an earlier era of
+/// the store, given all known VMs.
+///
+/// A VM that knows nothing from that era may not know all of them.
+pub fn possible_planners(
+    members: impl Iterator<Item = Claim>,
+    own: &Claim,
+    knows_earlier_era: bool,
+) -> Vec<Claim> {
+    let unknown = (!knows_earlier_era).then(Claim::unknown);
+    members
+        .filter(|claim| claim != own)
+        .chain(unknown)
+        .collect()
+}
+
 /// Returns the longest lease of planners that did not record it in the table.
 fn longest_lease_ms() -> u64 {
     MAX_LEASE_DURATION.as_millis() as u64
--- a/src/core/revision.rs
+++ b/src/core/revision.rs
@@ -8,9 +8,12 @@
 /// Number of bits for the store's count of changes.
 const NUMBER_BITS: u32 = 40;
 
+/// Latest era that can be told from the one before it.
+const MAX_ERA: u64 = (1 << 20) - 1;
+
 /// Returns the revision of change `number` in an era of the store.
 pub fn compose(era: u64, number: u64) -> u64 {
-    era << NUMBER_BITS | number & ((1 << NUMBER_BITS) - 1)
+    era.min(MAX_ERA) << NUMBER_BITS | number & ((1 << NUMBER_BITS) - 1)
 }
 
 /// Returns the era of a revision.
--- a/src/router/datagram.rs
+++ b/src/router/datagram.rs
@@ -140,7 +140,8 @@
             service,
             run,
             revision,
-        } => planner::on_yield(state, from, &service, run, revision),
+            history,
+        } => planner::on_yield(state, from, &service, run, revision, history),
         Datagram::Heartbeat(heartbeat) => state.record_heartbeat(from, &heartbeat),
         Datagram::Queued { .. }
         | Datagram::Granted { .. }
--- a/src/router/dispatcher.rs
+++ b/src/router/dispatcher.rs
@@ -8,6 +8,7 @@
 use crate::{
     core::{
         ownership::{
+            Planned,
             Planner,
             Status, //
         },
@@ -81,6 +82,8 @@
     pub rates: Rates,
     /// Planner of a keyed service, present while this VM holds the claim.
     pub planner: Option<Planner>,
+    /// What this process planned before the present planner, if anything.
+    pub planned: Option<Planned>,
     view: Arc<View>,
     /// When a permit was last requested.
     pub last_requested: Instant,
@@ -103,6 +106,14 @@
         self.dispatcher.set_endpoints(endpoints, now);
     }
 
+    /// Returns what this process may have leased as planner, if anything.
+    pub fn planned(&self, now: Instant) -> Option<Planned> {
+        let planner = self.planner.as_ref();
+        planner
+            .and_then(|planner| planner.planned(now))
+            .or(self.planned)
+    }
+
     /// Updates this VM's role for the service, and the rate limits of the service's endpoints.
     fn update_role(&mut self, state: &State, service: &str, now: Instant) {
         let view = &self.view;
@@ -182,6 +193,7 @@
                 dispatcher: Dispatcher::new(state.settings.bounds.retry_limit, now),
                 rates: Rates::default(),
                 planner: None,
+                planned: None,
                 view: Arc::new(View::default()),
                 last_requested: now,
                 submitted: Vec::new(),
--- a/src/router/membership.rs
+++ b/src/router/membership.rs
@@ -46,6 +46,7 @@
     register(&state, &own).await;
     state.set_registered();
     let mut unavailable_since: Vec<(Box<str>, Instant)> = Vec::new();
+    let mut restored_at = state.restored_at();
     loop {
         sleep(CHECK_INTERVAL).await;
         if state.is_leaving() {
@@ -53,7 +54,9 @@
         }
         let view = state.view();
         let entry = view.members.iter().find(|member| member.name == own.name);
-        if !view.members.is_empty() && entry != Some(&own) {
+        let is_restored = state.restored_at() != restored_at;
+        if is_restored || (!view.members.is_empty() && entry != Some(&own)) {
+            restored_at = state.restored_at();
             register(&state, &own).await;
         }
         remove_unavailable(&state, &mut unavailable_since).await;
--- a/src/router/peer.rs
+++ b/src/router/peer.rs
@@ -113,6 +113,7 @@
         mirror_id: state.run,
         last_change,
         objects,
+        oldest_era: state.oldest_era(),
         age_ms: state.age().as_millis() as u64,
         unavailable_members: state.unavailable_members(),
     };
@@ -147,6 +148,7 @@
         }
         is_changed
     });
+    state.set_oldest_era(delta.oldest_era);
     let now = clock::now();
     state.set_synced_at(Instant(now.0.saturating_sub(age.as_micros() as u64)));
     if !state.receives_all_heartbeats() {
--- a/src/router/planner.rs
+++ b/src/router/planner.rs
@@ -13,17 +13,24 @@
             Value, //
         },
         ownership::{
+            is_restored,
+            possible_planners,
             Action,
             Claim,
             Completion,
             Grant,
+            History,
             Outcome,
             Planner,
             Release,
             Table,
             CLAIM_VALIDITY, //
         },
-        registry::Endpoint,
+        registry::{
+            Endpoint,
+            Member, //
+        },
+        revision,
         time::Instant,
     },
     edge::{
@@ -46,7 +53,7 @@
             self,
             Job, //
         },
-        permit_client,
+        peer, permit_client,
         state::{
             State,
             View,
@@ -99,6 +106,9 @@
 /// Age of the last confirmation from which the claim is read again.
 const CLAIM_REFRESH_AGE: Duration = Duration::from_millis(6_000);
 
+/// Number of VMs that a planner asks for what they know from before a restore of the store.
+const MAX_PEERS_ASKED: usize = 8;
+
 type Channels = Arc<Mutex<Vec<(Box<str>, Arc<Channel>)>>>;
 
 /// Runs a task for each keyed service, for as long as the process runs.
@@ -171,6 +181,7 @@
         service: service.into(),
         run: state.run,
         revision: *revision,
+        history: history(state, service),
     };
     send(state, planner.datagrams, datagram);
 }
@@ -220,16 +231,35 @@
     };
     if has_stopped {
         let datagram = Datagram::Yielded {
-            service,
             run,
             revision,
+            history: history(state, &service),
+            service,
         };
         send(state, from, datagram);
     }
 }
 
+/// Returns what this process tells of its planning of a service.
+fn history(state: &State, service: &str) -> History {
+    let now = clock::now();
+    let job = dispatcher::job(state, service);
+    let planned = job.inner.lock().unwrap().planned(now);
+    History {
+        planned,
+        uptime_ms: now.since(state.started).as_millis() as u64,
+    }
+}
+
 /// Handles the message that the VM at `from` no longer grants keys of a service.
-pub fn on_yield(state: &State, from: SocketAddr, service: &str, run: u64, revision: u64) {
+pub fn on_yield(
+    state: &State,
+    from: SocketAddr,
+    service: &str,
+    run: u64,
+    revision: u64,
+    history: History,
+) {
     let view = state.view();
     let mut members = view.members.iter();
     let Some(member) = members.find(|member| member.datagrams == from) else {
@@ -242,7 +272,7 @@
     let job = dispatcher::job(state, service);
     let mut inner = job.inner.lock().unwrap();
     if let Some(planner) = &mut inner.planner {
-        planner.on_predecessor_yielded(&claim, revision, clock::now());
+        planner.on_predecessor_yielded(&claim, revision, history, clock::now());
     }
 }
 
@@ -273,21 +303,44 @@
 }
 
 /// Writes this VM's claim to the table; returns a planner on success.
-async fn take_claim(state: &Arc<State>, view: &View, service: &str) -> Option<Planner> {
+async fn take_claim(state: &Arc<State>, view: &Arc<View>, service: &str) -> Option<Planner> {
     let claim = Claim {
         node: state.settings.name.clone(),
         run: state.run,
     };
-    let current = view.table(service);
-    let has_ended = |claim: &Claim| has_ended(view, claim);
+    let era = state.era();
+    let mut view = Arc::clone(view);
+    let mut replaced = view.table(service).map(|(revision, _)| *revision);
+    let known = view.table(service).map(|(_, table)| &**table);
+    if is_restored(known, era) {
+        replaced = match read_restored_table(state, &view, service, era).await {
+            Ok(revision) => revision,
+            Err(error) => {
+                log::info!("event=claim_not_taken service={service} why=\"{error}\"");
+                sleep(RETRY_DELAY).await;
+                return None;
+            }
+        };
+        view = state.view();
+        let table = view.table(service);
+        if state.era() != era || table.is_some_and(|(_, table)| table.era >= era) {
+            return None;
+        }
+    }
     let table = Table::claimed(
-        current.map(|(_, table)| &**table),
+        view.table(service).map(|(_, table)| &**table),
         service,
-        claim,
-        &has_ended,
+        claim.clone(),
+        era,
+        &former_planners(state, &view, &claim, era),
+        &|claim| has_ended(&view, claim),
     );
     let sent = clock::now();
-    match write_table(state, &table, current.map(|(revision, _)| *revision)).await {
+    match write_table(state, &table, replaced).await {
+        Ok(revision) if revision::era(revision) != table.era => {
+            log::warn!("event=claim_outdated service={service} revision={revision}");
+            None
+        }
         Ok(revision) => {
             let max_lease_duration = state.settings.bounds.max_lease_duration;
             let now = clock::now();
@@ -298,6 +351,7 @@
                 planner.predecessors_expire_in(now).as_millis()
             );
             planner.confirm_claim(sent);
+            planner.on_own_history(history(state, service), now);
             Some(planner)
         }
         Err(error) => {
@@ -311,6 +365,49 @@
     }
 }
 
+/// Returns the other processes that may have planned a service before the store was restored.
+fn former_planners(state: &State, view: &View, own: &Claim, era: u64) -> Vec<Claim> {
+    let members = view.members.iter().map(|member| Claim {
+        node: member.name.clone(),
+        run: member.run,
+    });
+    possible_planners(members, own, state.oldest_era() < era)
+}
+
+/// Reads a table that is from before a restore of the store; returns its present revision, as
+/// the known one may not exist any more.
+async fn read_restored_table(
+    state: &Arc<State>,
+    view: &View,
+    service: &str,
+    era: u64,
+) -> Result<Option<u64>, Error> {
+    if state.oldest_era() >= era {
+        learn_earlier_era(state, view, era).await;
+    }
+    let object = state.store().get(Kind::Table, service).await?;
+    let revision = object.as_ref().map(|object| object.revision);
+    if let Some(object) = object {
+        merge_object(state, &object);
+    }
+    Ok(revision)
+}
+
+/// Gets what another VM knows from before `era`, if one that responds knows anything.
+async fn learn_earlier_era(state: &Arc<State>, view: &View, era: u64) {
+    let is_other = |member: &&Member| member.name != state.settings.name;
+    let others = view.members.iter().filter(is_other);
+    for member in others
+        .filter(|member| state.is_usable(member))
+        .take(MAX_PEERS_ASKED)
+    {
+        peer::poll(state, member, &mut Vec::new()).await;
+        if state.oldest_era() < era {
+            return;
+        }
+    }
+}
+
 /// Returns whether the process that made a claim has ended, which a later run of the same VM
 /// shows.
 fn has_ended(view: &View, claim: &Claim) -> bool {
@@ -416,8 +513,11 @@
         sleep(TICK_INTERVAL).await;
     }
     wait_for_pending_grants(&job).await;
-    let planner = job.inner.lock().unwrap().planner.take();
-    let revision = planner.map_or(0, |planner| planner.revision());
+    let revision = {
+        let mut inner = job.inner.lock().unwrap();
+        inner.planned = inner.planned(clock::now());
+        inner.planner.take().map_or(0, |planner| planner.revision())
+    };
     log::info!("event=claim_lost service={service} revision={revision}");
 }
 
@@ -462,6 +562,10 @@
     let Some((revision, table)) = view.table(service) else {
         return false;
     };
+    if table.era < state.era() {
+        // The store was restored, and this planner's table is not in it any more.
+        return true;
+    }
     let is_own = table.claim.node == state.settings.name && table.claim.run == state.run;
     let inner = job.inner.lock().unwrap();
     let planned_revision = inner.planner.as_ref().map_or(0, Planner::revision);
@@ -510,7 +614,8 @@
                 let Some(Value::Table(table)) = &object.value else {
                     return;
                 };
-                if table.claim == planner.table().claim {
+                let is_same_era = revision::era(object.revision) == planner.table().era;
+                if table.claim == planner.table().claim && is_same_era {
                     planner.confirm_claim(began);
                     state.set_read_at(began);
                 }
@@ -619,7 +724,12 @@
                 table.ranges.len(),
                 now.since(sent).as_millis()
             );
-            planner.on_table_written(table, revision, sent, now);
+            if revision::era(revision) == table.era {
+                planner.on_table_written(table, revision, sent, now);
+            } else {
+                planner.set_outdated();
+                planner.on_write_failed(now.after(RETRY_DELAY));
+            }
         }
         Err(error) => {
             log::warn!(
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -244,6 +244,10 @@
     round_robins: Mutex<Vec<(Box<str>, u64, RoundRobin)>>,
     synced_at: Mutex<Instant>,
     read_at: Mutex<Instant>,
+    /// When the store was last found to have been restored from an old copy.
+    restored_at: Mutex<Option<Instant>>,
+    /// Oldest era of the store from which this VM has objects, also by way of others.
+    oldest_era: Mutex<Option<u64>>,
     role: Mutex<Option<Role>>,
     store_failed_at: Mutex<Option<Instant>>,
     caller_wait: Mutex<Estimator>,
@@ -252,7 +256,8 @@
     unreliable_connections: Mutex<Vec<(Box<str>, Instant)>>,
     is_leaving: AtomicBool,
     is_registered: AtomicBool,
-    started: Instant,
+    /// When the process was started.
+    pub started: Instant,
 }
 
 impl State {
@@ -286,6 +291,8 @@
             round_robins: Mutex::new(Vec::new()),
             synced_at: Mutex::new(Instant::default()),
             read_at: Mutex::new(Instant::default()),
+            restored_at: Mutex::new(None),
+            oldest_era: Mutex::new(None),
             role: Mutex::new(None),
             store_failed_at: Mutex::new(None),
             caller_wait: Mutex::new(Estimator::default()),
@@ -323,7 +330,17 @@
     pub fn merge(&self, change: impl FnOnce(&mut Mirror) -> bool) {
         {
             let mut mirror = self.mirror.lock().unwrap();
-            if !change(&mut mirror) {
+            let is_first = mirror.last_change() == 0;
+            let known_era = mirror.era();
+            let is_changed = change(&mut mirror);
+            let era = mirror.era();
+            if is_first {
+                self.set_oldest_era(era);
+            } else if era > known_era {
+                log::warn!("event=store_restored era={era} known_era={known_era}");
+                *self.restored_at.lock().unwrap() = Some(clock::now());
+            }
+            if !is_changed {
                 return;
             }
             let mut view = self.view.lock().unwrap();
@@ -332,6 +349,30 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Returns the era of the store, as far as this VM knows.
+    pub fn era(&self) -> u64 {
+        self.mirror.lock().unwrap().era()
+    }
+
+    /// Returns when the store was last found to have been restored from an old copy.
+    pub fn restored_at(&self) -> Option<Instant> {
+        *self.restored_at.lock().unwrap()
+    }
+
+    /// Records that this VM has objects from an era of the store.
+    pub fn set_oldest_era(&self, era: u64) {
+        let mut oldest_era = self.oldest_era.lock().unwrap();
+        *oldest_era = Some(oldest_era.map_or(era, |oldest| oldest.min(era)));
+    }
+
+    /// Returns the oldest era of the store from which this VM has objects.
+    pub fn oldest_era(&self) -> u64 {
+        self.oldest_era
+            .lock()
+            .unwrap()
+            .unwrap_or_else(|| self.era())
+    }
+
     /// Returns the revision of an object, if it exists.
     pub fn revision(&self, kind: Kind, name: &str) -> Option<u64> {
         let mirror = self.mirror.lock().unwrap();
--- a/src/router/sync.rs
+++ b/src/router/sync.rs
@@ -17,7 +17,7 @@
             KINDS, //
         },
         registry::Member,
-        rendezvous,
+        rendezvous, revision,
         time::Instant,
     },
     edge::objects::{
@@ -141,11 +141,18 @@
     }
 }
 
+/// Returns until when objects may be missing because the store was restored from an old copy.
+fn settling_end(state: &State) -> Option<Instant> {
+    let restored_at = state.restored_at()?;
+    Some(restored_at.after(REGISTRATION_GRACE))
+}
+
 /// Watches a kind of objects while this VM is a relay for it.
 async fn watch(state: Arc<State>, kind: Kind) {
     let mut as_of: Option<u64> = None;
     let mut failing_since: Option<Instant> = None;
     let mut grace_end: Option<Instant> = None;
+    let mut restored_at = state.restored_at();
     loop {
         let role_changed = state.role_changed.listen();
         if !state
@@ -158,6 +165,12 @@
             timeout(ROLE_CHECK_INTERVAL, role_changed).await;
             continue;
         }
+        if state.restored_at() != restored_at {
+            // Changes since a revision of an earlier era are not the ones that this VM lacks.
+            restored_at = state.restored_at();
+            grace_end = settling_end(&state);
+            as_of = None;
+        }
         let began = clock::now();
         let is_grace = grace_end.is_some_and(|end| began < end);
         if grace_end.is_some() && !is_grace {
@@ -224,11 +237,20 @@
     }
 }
 
+/// Lists the objects of a kind.
+///
+/// Without `has_removals`, objects that are not in the list are kept, as they are for a while
+/// after the store was restored from an old copy. Tables are never removed.
 async fn list_objects(state: &Arc<State>, kind: Kind, has_removals: bool) -> Result<u64, Error> {
     let store = state.store();
     let page = store.list(kind, Freshness::Fresh).await?;
     let as_of = page.as_of;
-    state.merge(|mirror| mirror.merge_list(kind, page.objects, as_of, has_removals));
+    let is_settling = settling_end(state).is_some_and(|end| clock::now() < end);
+    let may_remove = has_removals && !is_settling && kind != Kind::Table;
+    state.merge(|mirror| {
+        let is_restored = mirror.last_change() > 0 && revision::era(as_of) > mirror.era();
+        mirror.merge_list(kind, page.objects, as_of, may_remove && !is_restored)
+    });
     Ok(as_of)
 }
 
--- a/src/router/wire.rs
+++ b/src/router/wire.rs
@@ -9,6 +9,7 @@
 
 use crate::core::{
     mirror::Object,
+    ownership::History,
     permit::{
         Outcome,
         Reason,
@@ -117,6 +118,8 @@
         run: u64,
         /// Revision of the service's table that the sender has last seen.
         revision: u64,
+        /// What the sender tells of the time before.
+        history: History,
     },
     /// The sender is alive.
     #[serde(rename = "Beat")]
@@ -167,6 +170,8 @@
         pub last_change: u64,
         /// Objects that changed since the queried change.
         pub objects: Vec<Object>,
+        /// Oldest era of the store from which the mirror has objects.
+        pub oldest_era: u64,
         /// Time since the mirror matched the store, in milliseconds.
         pub age_ms: u64,
         /// Members that are silent, leaving, or cut off from the store.
--- a/tests/suite/copy.rs
+++ b/tests/suite/copy.rs
@@ -18,7 +18,9 @@
     },
     registry::Member,
     rendezvous,
+    revision::compose,
 };
+use std::sync::Arc;
 
 fn object(name: &str, revision: u64, value: Option<Value>) -> Object {
     Object {
@@ -75,6 +77,67 @@
     assert!(mirror.changes_since(mirror.last_change()).is_empty());
 }
 
+fn config(version: u64, revision: u64) -> Object {
+    let manifest = Manifest {
+        version,
+        services: Vec::new(),
+        hosts: Vec::new(),
+        limits: Limits {
+            head_bytes: 1,
+            body_bytes: 1,
+            idle_ms: 1,
+        },
+    };
+    Object {
+        kind: Kind::Manifest,
+        name: "main".into(),
+        revision,
+        value: Some(Value::Manifest(Arc::new(manifest))),
+    }
+}
+
+fn config_version(mirror: &Mirror) -> u64 {
+    match &mirror.get(Kind::Manifest, "main").unwrap().value {
+        Some(Value::Manifest(manifest)) => manifest.version,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn configuration_does_not_go_back_when_the_store_is_restored() {
+    let mut mirror = Mirror::default();
+    mirror.merge(config(8, compose(1, 50)));
+    mirror.merge_list(
+        Kind::Manifest,
+        vec![config(6, compose(2, 40))],
+        compose(2, 45),
+        true,
+    );
+    assert_eq!(mirror.era(), 2);
+    assert_eq!(config_version(&mirror), 8);
+    // The number of this change was also given out before the restore.
+    assert!(mirror.merge(config(9, compose(2, 46))));
+    assert_eq!(config_version(&mirror), 9);
+    // Another VM still has an object from before.
+    assert!(!mirror.merge(config(8, compose(1, 50))));
+    assert_eq!(config_version(&mirror), 9);
+}
+
+#[test]
+fn list_of_a_restored_store_neither_removes_nor_revives_objects_until_it_is_settled() {
+    let mut mirror = Mirror::default();
+    mirror.merge(present("lost", compose(1, 50)));
+    mirror.merge(present("gone", compose(1, 30)));
+    mirror.merge(object("gone", compose(1, 51), None));
+    let restored = || vec![present("gone", compose(2, 30))];
+    mirror.merge_list(Kind::Endpoint, restored(), compose(2, 45), false);
+    assert!(mirror.get(Kind::Endpoint, "lost").is_some());
+    assert!(mirror.get(Kind::Endpoint, "gone").is_none());
+    mirror.merge_list(Kind::Endpoint, restored(), compose(2, 46), true);
+    assert!(mirror.get(Kind::Endpoint, "lost").is_none());
+    assert!(mirror.get(Kind::Endpoint, "gone").is_some());
+}
+
 fn member(name: &str, zone: &str, cpu_millis: u32) -> Member {
     Member {
         name: name.into(),
--- a/tests/suite/ownership_simulation.rs
+++ b/tests/suite/ownership_simulation.rs
@@ -41,6 +41,7 @@
     store_partition: 0.1,
     planner_restart: 0.1,
     cpu_starvation: 0.05,
+    restore: 0.0,
 };
 
 fn run_schedule(seed: u64, faults: Faults, mutation: Mutation) -> Result<(), String> {
@@ -176,6 +177,32 @@
     }
 }
 
+/// A store that is restored from a copy, by which claims and moves are lost.
+const RESTORED_STORE: Faults = Faults {
+    restore: 0.08,
+    pause: 0.15,
+    partition: 0.3,
+    churn: 0.5,
+    store_partition: 0.15,
+    planner_restart: 0.15,
+    ..NO_FAULTS
+};
+
+#[test]
+fn ownership_is_exclusive_when_the_store_is_restored_from_an_old_copy() {
+    let all_faults = Faults {
+        restore: 0.05,
+        ..ALL_FAULTS
+    };
+    for faults in [RESTORED_STORE, all_faults] {
+        for seed in 0..SEED_COUNT {
+            if let Err(failure) = run_schedule(seed, faults, Mutation::None) {
+                panic!("seed {seed}: {failure}");
+            }
+        }
+    }
+}
+
 /// Schedules in which a grant that was sent late reached the next run of an endpoint, which
 /// had no fencing token to refuse it, after the keys had been granted to another endpoint.
 const LATE_GRANT_SEEDS: [u64; 10] = [244, 351, 381, 566, 846, 900, 947, 1_093, 1_211, 1_283];
@@ -243,6 +270,18 @@
         is_violation_found(Mutation::UnderstateLease, SUCCESSOR_LOSS, 0),
         "no violation found with leases above the table's bound"
     );
+    assert!(
+        is_violation_found(Mutation::TrustRestoredTable, RESTORED_STORE, 0),
+        "no violation found with a trusted table of a restored store"
+    );
+    assert!(
+        is_violation_found(Mutation::IgnorePlanned, RESTORED_STORE, 0),
+        "no violation found with ignored plans of other processes"
+    );
+    assert!(
+        is_violation_found(Mutation::IgnoreRestarts, RESTORED_STORE, 0),
+        "no violation found with ignored restarts of planners"
+    );
     assert!(
         is_violation_found(Mutation::ZeroReleaseFence, ALL_FAULTS, 263),
         "no violation found with releases without a fencing token"
@@ -256,8 +295,8 @@
         run,
     };
     let has_ended = |_: &Claim| false;
-    let initial = Table::claimed(None, "s", claim(1), &has_ended);
-    let successor = Table::claimed(Some(&initial), "s", claim(2), &has_ended);
+    let initial = Table::claimed(None, "s", claim(1), 0, &[], &has_ended);
+    let successor = Table::claimed(Some(&initial), "s", claim(2), 0, &[], &has_ended);
     assert_eq!(successor.ranges.len(), initial.ranges.len());
     assert!(successor.last_fence > initial.last_fence);
     assert!(successor
--- a/tests/suite/ownership_simulation/world.rs
+++ b/tests/suite/ownership_simulation/world.rs
@@ -11,12 +11,21 @@
 };
 use rand_chacha::ChaCha8Rng;
 use rhubarbpick::core::{
+    mirror::{
+        Kind,
+        Mirror,
+        Object,
+        Value, //
+    },
     ownership::{
+        possible_planners,
         Action,
         Claim,
         Completion,
         Grant,
+        History,
         Outcome,
+        Planned,
         Planner,
         Release,
         Table,
@@ -24,6 +33,7 @@
     },
     rebalance::Rates,
     registry::Endpoint,
+    revision,
     time::Instant,
 };
 use std::{
@@ -73,6 +83,12 @@
     /// Planners grant longer leases than the table allows. Simulated by a successor that
     /// reads a shorter bound from the table.
     UnderstateLease,
+    /// A planner relies on the table of a store that was restored from an old copy.
+    TrustRestoredTable,
+    /// A planner does not ask what others planned before the store was restored.
+    IgnorePlanned,
+    /// A planner does not ask what earlier runs of others planned before the store was restored.
+    IgnoreRestarts,
 }
 
 /// Probabilities of the faults in a schedule.
@@ -107,6 +123,9 @@
     /// An order is sent some tenths of a second late, as on a VM that is short of
     /// CPU time.
     pub cpu_starvation: f64,
+    /// The store is down for a moment and restored from a copy that is some seconds old. VMs
+    /// then read the store only from time to time.
+    pub restore: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -213,7 +232,9 @@
     WriteConflict(usize),
     DelayedWrite(Table, u64),
     WriteRetry(usize, Table, u64),
-    Yield(Claim, u64),
+    Yield(Claim, u64, History),
+    /// The store goes back to its state at the given time.
+    Restore(Instant),
     FaultTick,
 }
 
@@ -249,6 +270,58 @@
     store_partition_until: Instant,
     last_tick: Instant,
     run: u64,
+    mirror: Mirror,
+    /// Era of the store in which the mirror got its first object.
+    oldest_era: Option<u64>,
+    /// What the process planned before its present planner.
+    planned: Option<Planned>,
+    started: Instant,
+}
+
+impl Vm {
+    fn history(&self, now: Instant, mutation: Mutation) -> History {
+        let present = self
+            .planner
+            .as_ref()
+            .and_then(|planner| planner.planned(now));
+        History {
+            planned: match mutation {
+                Mutation::IgnorePlanned => None,
+                _ => present.or(self.planned),
+            },
+            uptime_ms: match mutation {
+                Mutation::IgnoreRestarts => u64::MAX,
+                _ => now.since(self.started).as_millis() as u64,
+            },
+        }
+    }
+
+    fn read(&mut self, stored: Option<&(Table, u64)>, era: u64) {
+        self.oldest_era.get_or_insert(era);
+        let objects = stored.map(|(table, revision)| Object {
+            kind: Kind::Table,
+            name: "s".into(),
+            revision: *revision,
+            value: Some(Value::Table(Arc::new(table.clone()))),
+        });
+        let as_of = revision::compose(era, 0);
+        let objects = objects.into_iter().collect();
+        self.mirror.merge_list(Kind::Table, objects, as_of, false);
+    }
+
+    fn known_table(&self) -> Option<(Table, u64)> {
+        let object = self.mirror.get(Kind::Table, "s")?;
+        match &object.value {
+            Some(Value::Table(table)) => Some(((**table).clone(), object.revision)),
+            _ => None,
+        }
+    }
+
+    fn drop_planner(&mut self, now: Instant) {
+        let planner = self.planner.take();
+        let planned = planner.and_then(|planner| planner.planned(now));
+        self.planned = planned.or(self.planned);
+    }
 }
 
 /// The simulated platform and the planners.
@@ -261,6 +334,10 @@
     mutation: Mutation,
     servers: Vec<Server>,
     stored: Option<(Table, u64)>,
+    /// Earlier states of the store.
+    history: Vec<(Instant, Option<(Table, u64)>)>,
+    era: u64,
+    /// Number of the last change of the store.
     revision: u64,
     store_down_until: Instant,
     vms: Vec<Vm>,
@@ -285,6 +362,8 @@
             mutation,
             servers: Vec::new(),
             stored: None,
+            history: Vec::new(),
+            era: 1,
             revision: 10,
             store_down_until: Instant::default(),
             vms: Vec::new(),
@@ -305,6 +384,10 @@
                 store_partition_until: now,
                 last_tick: now,
                 run: 1,
+                mirror: Mirror::default(),
+                oldest_era: None,
+                planned: None,
+                started: now,
             });
             world.schedule(TICK_INTERVAL * index, Event::Tick(index as usize));
         }
@@ -398,12 +481,13 @@
         match event {
             Event::Tick(vm) => self.tick(vm),
             Event::FaultTick => self.inject_faults(),
-            Event::Yield(claim, revision) => {
+            Event::Restore(at) => self.restore(at),
+            Event::Yield(claim, revision, history) => {
                 let now = self.now;
                 let accepts_stale = self.mutation == Mutation::AcceptStaleYield;
                 let revision = if accepts_stale { u64::MAX } else { revision };
                 for planner in self.vms.iter_mut().filter_map(|vm| vm.planner.as_mut()) {
-                    planner.on_predecessor_yielded(&claim, revision, now);
+                    planner.on_predecessor_yielded(&claim, revision, history, now);
                 }
             }
             Event::OrderArrival(vm, run, id, order, sent) => {
@@ -426,6 +510,9 @@
                     return;
                 };
                 match revision {
+                    Some(revision) if revision::era(revision) != table.era => {
+                        planner.set_outdated();
+                    }
                     Some(revision) => planner.on_table_written(table, revision, sent, now),
                     None => planner.on_write_failed(now.after(Duration::from_millis(200))),
                 }
@@ -439,18 +526,58 @@
                 self.attempt_write(vm, table, known_revision)
             }
             Event::DelayedWrite(table, revision) => {
-                if self
-                    .stored
-                    .as_ref()
-                    .is_some_and(|stored| stored.1 == revision)
-                {
-                    self.revision += 1;
-                    self.stored = Some((table, self.revision));
+                if self.is_stored_as(revision) {
+                    self.store(table);
                 }
             }
         }
     }
 
+    /// Returns whether the store has a table under a revision, of which it knows only the number.
+    fn is_stored_as(&self, revision: u64) -> bool {
+        let stored = self.stored.as_ref();
+        stored.is_some_and(|stored| revision::number(stored.1) == revision::number(revision))
+    }
+
+    /// Stores a table and returns its revision.
+    fn store(&mut self, table: Table) -> u64 {
+        self.revision += 1;
+        let revision = revision::compose(self.era, self.revision);
+        self.stored = Some((table, revision));
+        self.history.push((self.now, self.stored.clone()));
+        revision
+    }
+
+    fn restore(&mut self, at: Instant) {
+        if self.faults.restore == 0.0 {
+            return;
+        }
+        self.history.retain(|(stored_at, _)| *stored_at <= at);
+        let stored = self.history.last().and_then(|(_, stored)| stored.clone());
+        self.era += 1;
+        self.stored = stored.map(|(table, revision)| {
+            self.revision = revision::number(revision);
+            (table, revision::compose(self.era, self.revision))
+        });
+    }
+
+    fn is_store_reachable(&self, vm: usize) -> bool {
+        self.store_down_until <= self.now && self.vms[vm].store_partition_until <= self.now
+    }
+
+    /// Reads the store, but only sometimes if it may be restored from a copy.
+    fn read_store(&mut self, vm: usize) -> bool {
+        if !self.is_store_reachable(vm) {
+            return false;
+        }
+        if self.faults.restore > 0.0 && !self.chance(0.1) {
+            return false;
+        }
+        let (stored, era) = (self.stored.clone(), self.era);
+        self.vms[vm].read(stored.as_ref(), era);
+        true
+    }
+
     fn tick(&mut self, vm: usize) {
         self.schedule(TICK_INTERVAL, Event::Tick(vm));
         if self.vms[vm].paused_until > self.now {
@@ -463,14 +590,16 @@
                 planner.expire_claim();
             }
         }
+        let is_read = self.read_store(vm);
         if self.vms[vm].planner.is_none() {
             self.try_claim(vm);
             return;
         }
-        self.confirm(vm);
+        self.confirm(vm, is_read);
         if self.vms[vm].planner.is_none() {
             return;
         }
+        self.notify_predecessors(vm);
         let endpoints: Vec<Arc<Endpoint>> = self
             .servers
             .iter()
@@ -494,19 +623,47 @@
         }
     }
 
-    /// Confirms the claim by reading the store.
-    fn confirm(&mut self, vm: usize) {
+    /// Asks the earlier planners of an unverified table to stop.
+    fn notify_predecessors(&mut self, vm: usize) {
+        let now = self.now;
+        let planner = self.vms[vm].planner.as_ref().unwrap();
+        if planner.table().unverified.is_none() {
+            return;
+        }
+        let revision = planner.claim_revision();
+        for claim in planner.predecessors(now).to_vec() {
+            let name = |index: usize| format!("vm-{index}");
+            let Some(index) = (0..VM_COUNT).find(|&index| *claim.node == *name(index)) else {
+                continue;
+            };
+            let other = &mut self.vms[index];
+            if other.run != claim.run || other.paused_until > now {
+                continue;
+            }
+            let planner = other.planner.as_mut();
+            if planner.is_some_and(|planner| !planner.on_successor_claimed(revision)) {
+                continue;
+            }
+            let history = other.history(now, self.mutation);
+            if self.chance(0.5) {
+                let latency = self.latency();
+                self.schedule(latency, Event::Yield(claim, revision, history));
+            }
+        }
+    }
+
+    /// Confirms the claim by what was read from the store.
+    fn confirm(&mut self, vm: usize, is_read: bool) {
         let now = self.now;
-        let is_store_unreachable =
-            self.store_down_until > now || self.vms[vm].store_partition_until > now;
         let stored = self.stored.clone();
         let ignores_age = self.mutation == Mutation::IgnoreClaimAge;
         let planner = self.vms[vm].planner.as_mut().unwrap();
         let claim = planner.table().claim.clone();
-        let is_readable = ignores_age || !is_store_unreachable;
-        let is_own = stored
-            .as_ref()
-            .is_some_and(|(table, _)| table.claim == claim);
+        let era = planner.table().era;
+        let is_readable = ignores_age || is_read;
+        let is_own = stored.as_ref().is_some_and(|(table, revision)| {
+            table.claim == claim && revision::era(*revision) == era
+        });
         if is_readable && !planner.is_outdated() {
             if is_own || ignores_age {
                 planner.confirm_claim(now);
@@ -517,7 +674,8 @@
         if !planner.is_outdated() || planner.has_pending_grants() {
             return;
         }
-        self.vms[vm].planner = None;
+        self.vms[vm].drop_planner(now);
+        let history = self.vms[vm].history(now, self.mutation);
         let Some((_, revision)) = stored.filter(|_| is_readable && !is_own) else {
             return;
         };
@@ -525,7 +683,7 @@
         for index in 0..self.rng.random_range(0..3) {
             let longest_ms = if index == 0 { 200 } else { 9_000 };
             let latency = Duration::from_millis(self.rng.random_range(1..longest_ms));
-            self.schedule(latency, Event::Yield(claim.clone(), revision));
+            self.schedule(latency, Event::Yield(claim.clone(), revision, history));
         }
     }
 
@@ -535,9 +693,7 @@
             let is_responsive = other.paused_until <= now && other.store_partition_until <= now;
             other.planner.is_some() && is_responsive
         };
-        let is_store_unreachable =
-            self.store_down_until > now || self.vms[vm].store_partition_until > now;
-        if is_store_unreachable || self.vms.iter().any(is_planning) {
+        if !self.is_store_reachable(vm) || self.vms.iter().any(is_planning) {
             return;
         }
         // A real VM waits between two attempts.
@@ -549,27 +705,64 @@
             node: format!("vm-{vm}").into(),
             run,
         };
-        let mut old_table = self.stored.as_ref().map(|(table, _)| table.clone());
+        if self.vms[vm].oldest_era.is_none() {
+            return;
+        }
+        let known = self.vms[vm].known_table();
+        let era = self.vms[vm].mirror.era().max(1);
+        let mut old_table = known.as_ref().map(|(table, _)| table.clone());
         if let (Mutation::ForgetEarlierClaims, Some(old_table)) = (self.mutation, &mut old_table) {
             old_table.earlier.clear();
         }
         let has_ended = |claim: &Claim| self.has_ended(claim);
-        let mut table = Table::claimed(old_table.as_ref(), "s", claim, &has_ended);
+        let members = self.vms.iter().enumerate().map(|(index, vm)| Claim {
+            node: format!("vm-{index}").into(),
+            run: vm.run,
+        });
+        let knows_earlier_era = self.vms[vm].oldest_era.is_some_and(|oldest| oldest < era);
+        let others = possible_planners(members, &claim, knows_earlier_era);
+        let mut table = Table::claimed(old_table.as_ref(), "s", claim, era, &others, &has_ended);
+        let is_restored = old_table.is_some_and(|old_table| old_table.era < era);
+        let is_replaced = match &known {
+            // A VM reads the store before the first claim in an era.
+            Some(_) if is_restored => {
+                let stored = self.stored.as_ref();
+                stored.is_none_or(|(stored, _)| {
+                    (stored.era, stored.last_fence) < (table.era, table.last_fence)
+                })
+            }
+            Some((_, revision)) => self.is_stored_as(*revision),
+            None => self.stored.is_none(),
+        };
+        if !is_replaced {
+            let (stored, era) = (self.stored.clone(), self.era);
+            self.vms[vm].read(stored.as_ref(), era);
+            return;
+        }
+        if self.mutation == Mutation::TrustRestoredTable {
+            table.unverified = None;
+        }
         if self.mutation == Mutation::IgnorePredecessorLeases {
             table.earlier.clear();
         }
         if self.mutation == Mutation::UnderstateLease {
             table.lease_ms = 1;
         }
-        self.revision += 1;
-        self.stored = Some((table.clone(), self.revision));
+        let revision = self.store(table.clone());
+        let (stored, era) = (self.stored.clone(), self.era);
+        self.vms[vm].read(stored.as_ref(), era);
+        if revision::era(revision) != table.era {
+            return;
+        }
         // Makes all leases granted by others look expired.
         let opened_at = match self.mutation {
             Mutation::IgnorePredecessorLeases => Instant(now.0.saturating_sub(MAX_LEASE_AGE_US)),
             _ => now,
         };
-        let mut planner = Planner::new(table, self.revision, MAX_LEASE_DURATION, opened_at);
+        let mut planner = Planner::new(table, revision, MAX_LEASE_DURATION, opened_at);
         planner.confirm_claim(now);
+        let history = self.vms[vm].history(now, self.mutation);
+        planner.on_own_history(history, now);
         self.vms[vm].planner = Some(planner);
     }
 
@@ -635,15 +828,13 @@
                 self.schedule(latency, Event::WriteCompletion(vm, table, revision, sent));
                 return;
             }
-            Some((_, revision)) if *revision == known_revision => {}
+            Some(_) if self.is_stored_as(known_revision) => {}
             _ => {
                 self.schedule(latency, Event::WriteConflict(vm));
                 return;
             }
         }
-        self.revision += 1;
-        self.stored = Some((table.clone(), self.revision));
-        let revision = self.revision;
+        let revision = self.store(table.clone());
         self.schedule(
             latency,
             Event::WriteCompletion(vm, table, Some(revision), sent),
@@ -824,13 +1015,35 @@
             let now = self.now;
             let is_planning = |vm: &Vm| vm.planner.is_some() && vm.store_partition_until <= now;
             if let Some(vm) = self.vms.iter().position(is_planning) {
-                self.vms[vm].planner = None;
-                self.vms[vm].run += 1;
+                self.restart(vm);
             }
         }
         if self.chance(faults.churn) {
             self.churn();
         }
+        if faults.restore > 0.0 && self.chance(faults.restore) {
+            let downtime = Duration::from_millis(self.rng.random_range(50..3_000));
+            let lost_us = self.rng.random_range(0..12_000_000);
+            self.store_down_until = self.store_down_until.max(self.now.after(downtime));
+            let at = Instant(self.now.0.saturating_sub(lost_us));
+            self.schedule(downtime, Event::Restore(at));
+        }
+    }
+
+    /// Restarts the process of a VM. It may get the mirror of another VM before it claims.
+    fn restart(&mut self, vm: usize) {
+        let (mut mirror, mut oldest_era) = (Mirror::default(), None);
+        if self.faults.restore > 0.0 && self.chance(0.5) {
+            let other = &self.vms[(vm + 1) % VM_COUNT];
+            (mirror, oldest_era) = (other.mirror.clone(), other.oldest_era);
+        }
+        let vm = &mut self.vms[vm];
+        vm.planner = None;
+        vm.planned = None;
+        vm.started = self.now;
+        vm.run += 1;
+        vm.mirror = mirror;
+        vm.oldest_era = oldest_era;
     }
 
     /// Draws the VMs that cannot reach an endpoint: one, all but one, or all.
@@ -923,6 +1136,7 @@
     store_partition: 0.0,
     planner_restart: 0.0,
     cpu_starvation: 0.0,
+    restore: 0.0,
 };
 
 fn first_order(order: &Order) -> Order {
--- a/tests/suite/takeover.rs
+++ b/tests/suite/takeover.rs
@@ -8,6 +8,7 @@
         Action,
         Claim,
         Completion,
+        History,
         Outcome,
         Planner,
         Status,
@@ -15,6 +16,7 @@
     },
     rebalance::Rates,
     registry::Endpoint,
+    revision::compose,
     time::Instant,
 };
 use std::{
@@ -25,6 +27,11 @@
 /// Longest lease that the platform allows.
 const MAX_LEASE: Duration = Duration::from_secs(10);
 
+const NO_HISTORY: History = History {
+    planned: None,
+    uptime_ms: u64::MAX,
+};
+
 const TICK: Duration = Duration::from_millis(25);
 
 struct World {
@@ -59,7 +66,7 @@
             })
         });
         let now = Instant(1_000_000);
-        let table = Table::claimed(None, "s", claim(1), &|_| false);
+        let table = Table::claimed(None, "s", claim(1), 0, &[], &|_| false);
         let planner = Planner::new(table.clone(), 1, MAX_LEASE, now);
         let world = Self {
             now,
@@ -74,7 +81,15 @@
     /// Takes the claim from the previous planner, which may still be running.
     fn take_claim(&mut self, run: u64) -> Planner {
         self.revision += 1;
-        self.table = Table::claimed(Some(&self.table), "s", claim(run), &|_| false);
+        self.table = Table::claimed(Some(&self.table), "s", claim(run), 0, &[], &|_| false);
+        Planner::new(self.table.clone(), self.revision, MAX_LEASE, self.now)
+    }
+
+    /// Takes the claim after the store was restored to a state that has `table`.
+    fn take_claim_of_restored(&mut self, run: u64, table: &Table) -> Planner {
+        let others = [claim(1)];
+        self.table = Table::claimed(Some(table), "s", claim(run), 1, &others, &|_| false);
+        self.revision = compose(1, self.revision);
         Planner::new(self.table.clone(), self.revision, MAX_LEASE, self.now)
     }
 
@@ -152,7 +167,7 @@
     let revision = successor.claim_revision();
     assert!(planner.on_successor_claimed(revision));
     assert!(!planner.is_claim_valid(world.now), "a planner that yielded");
-    successor.on_predecessor_yielded(&claim(1), revision, world.now);
+    successor.on_predecessor_yielded(&claim(1), revision, NO_HISTORY, world.now);
     assert!(successor.predecessors(world.now).is_empty());
     let yielded = world.now;
     while world.unowned_keys(&successor) > 0 {
@@ -164,6 +179,54 @@
     assert!(waited < lease + Duration::from_millis(700), "{waited:?}");
 }
 
+/// Runs a planner, loses what it wrote after `table` and lets a successor take the claim.
+/// Returns how long the keys were unowned.
+fn unowned_time_after_restore(is_table_lost: bool, uptime_ms: u64) -> Duration {
+    let (mut world, mut planner) = World::new(16);
+    world.run(&mut planner, Duration::from_secs(2));
+    let copied = world.table.clone();
+    if is_table_lost {
+        // The keys of an endpoint move to the others.
+        world.endpoints.remove(3);
+        world.run(&mut planner, Duration::from_secs(3));
+        assert!(world.table.last_fence > copied.last_fence);
+    }
+    assert_eq!(world.unowned_keys(&planner), 0);
+    let began = world.now;
+    let mut successor = world.take_claim_of_restored(2, &copied);
+    let revision = successor.claim_revision();
+    successor.on_own_history(NO_HISTORY, began);
+    assert!(planner.on_successor_claimed(revision));
+    let history = History {
+        planned: planner.planned(began),
+        uptime_ms,
+    };
+    successor.on_predecessor_yielded(&claim(1), revision, history, began);
+    while world.unowned_keys(&successor) > 0 {
+        world.step(&mut successor);
+        assert!(world.now.since(began) < Duration::from_secs(20));
+    }
+    world.now.since(began)
+}
+
+#[test]
+fn keys_are_granted_at_once_if_a_restored_store_lost_no_move() {
+    let time = unowned_time_after_restore(false, u64::MAX);
+    assert!(time < Duration::from_millis(200), "{time:?}");
+}
+
+#[test]
+fn leases_run_out_before_keys_are_granted_if_a_restored_store_may_have_lost_moves() {
+    const LONGEST_LEASE: Duration = Duration::from_millis(5_200);
+    let time = unowned_time_after_restore(true, u64::MAX);
+    assert!(time > LONGEST_LEASE, "{time:?}, though a move was lost");
+    let time = unowned_time_after_restore(false, 1_000);
+    assert!(
+        time > LONGEST_LEASE,
+        "{time:?}, though an earlier run may have moved keys"
+    );
+}
+
 #[test]
 fn planner_yields_only_after_its_last_grant_has_ended() {
     // A VM that is short of CPU time sends a grant late. Its successor must not count the
--- a/tests/suite/wire.rs
+++ b/tests/suite/wire.rs
@@ -12,6 +12,7 @@
             Value, //
         },
         ownership::{
+            Basis,
             Claim,
             Owner,
             Range,
@@ -79,6 +80,17 @@
             node: "old".into(),
             run: 2,
         }],
+        era: 2,
+        claim_fence: 3,
+        unverified: Some(Basis {
+            claim: Claim {
+                node: "vm".into(),
+                run: 1,
+            },
+            claim_fence: 2,
+            last_fence: 3,
+            lease_ms: 1_300,
+        }),
         last_fence: 4,
         lease_ms: 1_300,
         ranges: vec![Range {
@@ -103,6 +115,7 @@
             object(Kind::Member, Some(Value::Member(Arc::new(member)))),
             object(Kind::Table, Some(Value::Table(Arc::new(table)))),
         ],
+        oldest_era: 1,
         age_ms: 5,
         unavailable_members: vec!["other".into()],
     };
