--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -337,6 +337,7 @@
             if is_first {
                 self.set_oldest_era(era);
             } else if era > known_era {
+                metrics::counter!("rhubarbpick_store_restores_total").increment(1);
                 log::warn!("event=store_restored era={era} known_era={known_era}");
                 *self.restored_at.lock().unwrap() = Some(clock::now());
             }
