Wait after a restore only for leases that can still run

Cause: where the table did not include all that was planned before a restore, keys waited for the longest lease that there can be from the moment at which all VMs had answered, although each answer says more: an earlier run of a VM granted nothing since the present one was started, and a planner knows the longest lease that it allowed.

Change: the wait ends when the leases of earlier runs have expired, counted from their ends, and those of planners by the leases that they allowed.

--- a/src/core/ownership/mod.rs
+++ b/src/core/ownership/mod.rs
@@ -238,8 +238,9 @@
     /// Time until which no keys are granted, since they may have owners that an unverified table
     /// does not name.
     barred_until: Instant,
-    /// Whether an earlier planner may have granted keys after the basis of an unverified table.
-    is_diverged: bool,
+    /// Time by which all leases have expired that the basis of an unverified table may not include,
+    /// as far as other processes have told.
+    diverged_until: Instant,
     claimed_at: Instant,
     max_lease_duration: Duration,
     /// Changes of the table that is being written.
@@ -293,7 +294,7 @@
                 Some(_) => lease_end,
                 None => Instant::default(),
             },
-            is_diverged: false,
+            diverged_until: now,
             claimed_at: now,
             max_lease_duration,
             changes: Vec::new(),
@@ -324,14 +325,14 @@
         if revision < self.claim_revision || !self.predecessors.contains(claim) {
             return;
         }
-        self.verify(claim, history);
+        self.verify(claim, history, now);
         self.remove_predecessors(&|other| other == claim, now);
     }
 
     /// Checks the basis of an unverified table against what this process planned before it took
     /// the claim.
     pub fn on_own_history(&mut self, history: History, now: Instant) {
-        self.verify(&self.table.claim.clone(), history);
+        self.verify(&self.table.claim.clone(), history, now);
         if self.predecessors.is_empty() {
             self.finish_verification(now);
         }
@@ -345,25 +346,29 @@
         })
     }
 
-    fn verify(&mut self, planner: &Claim, history: History) {
+    fn verify(&mut self, planner: &Claim, history: History, now: Instant) {
         let Some(basis) = &mut self.table.unverified else {
             return;
         };
         // An earlier run of the VM may have granted keys until the present one was started.
         let uptime = Duration::from_millis(history.uptime_ms);
-        self.is_diverged |= uptime < max_time_to_expiry(MAX_LEASE_DURATION);
+        let mut time_to_expiry = max_time_to_expiry(MAX_LEASE_DURATION).saturating_sub(uptime);
         if let Some(planned) = history.planned {
-            self.is_diverged |= !basis.includes(planner, planned);
             basis.lease_ms = basis.lease_ms.max(planned.lease_ms);
+            if !basis.includes(planner, planned) {
+                let lease_duration = Duration::from_millis(planned.lease_ms);
+                time_to_expiry = time_to_expiry.max(max_time_to_expiry(lease_duration));
+            }
         }
+        self.diverged_until = self.diverged_until.max(now.after(time_to_expiry));
     }
 
-    /// Ends the wait for the leases from before a restore of the store if the table includes all
-    /// of them.
+    /// Ends the wait for other processes after a restore of the store; what remains is to wait
+    /// for the leases that the table may not include.
     fn finish_verification(&mut self, now: Instant) {
-        if let (Some(basis), false) = (&self.table.unverified, self.is_diverged) {
+        if let Some(basis) = &self.table.unverified {
             self.table.lease_ms = basis.lease_ms;
-            self.barred_until = now;
+            self.barred_until = self.diverged_until.max(now);
         }
     }
 
@@ -371,7 +376,10 @@
     ///
     /// They cannot tell any more what they planned.
     pub fn remove_ended_predecessors(&mut self, has_ended: &dyn Fn(&Claim) -> bool, now: Instant) {
-        self.is_diverged |= self.predecessors.iter().any(has_ended);
+        if self.table.unverified.is_some() && self.predecessors.iter().any(has_ended) {
+            let latest = now.after(max_time_to_expiry(MAX_LEASE_DURATION));
+            self.diverged_until = self.diverged_until.max(latest);
+        }
         self.remove_predecessors(has_ended, now);
     }
 
@@ -390,7 +398,7 @@
         self.predecessors_until = now;
         self.finish_verification(now);
         let latest = now.after(max_time_to_expiry(self.table.longest_lease()));
-        self.barred_until = self.barred_until.min(latest);
+        let latest = latest.max(self.diverged_until);
         for segment in &mut self.segments {
             segment.lease_end = segment.lease_end.min(latest);
             segment.prior_lease_end = segment
@@ -496,9 +504,10 @@
     pub fn key_status(&self, key: u16, now: Instant) -> Status<'_> {
         if now < self.barred_until {
             let verified_at = self.claimed_at.after(VERIFICATION_TIME);
-            let until = match self.is_diverged || now >= verified_at {
-                true => self.barred_until.after(TIMER_MARGIN),
-                false => verified_at,
+            let is_verifying = !self.predecessors(now).is_empty() && now < verified_at;
+            let until = match is_verifying {
+                true => verified_at.max(self.diverged_until),
+                false => self.barred_until.after(TIMER_MARGIN),
             };
             return Status::Unowned(time_until(until, now));
         }
@@ -851,10 +860,11 @@
         }
         merge_adjacent(&mut segments);
         let wanted_lease_ms = self.wanted_lease_duration(segments.len()).as_millis() as u64;
-        // All leases from before have expired if an unverified table did not include them.
-        let longest_lease_ms = match (&self.table.unverified, self.is_diverged) {
-            (Some(_), true) => wanted_lease_ms,
-            _ => self.table.lease_ms.max(wanted_lease_ms),
+        // All leases from before have expired if other processes never told about theirs.
+        let is_all_expired = self.table.unverified.is_some() && !self.predecessors.is_empty();
+        let longest_lease_ms = match is_all_expired {
+            true => wanted_lease_ms,
+            false => self.table.lease_ms.max(wanted_lease_ms),
         };
         Table {
             service: self.table.service.clone(),
