Count the lease of a restarted endpoint until its earlier planners are gone

Cause: an endpoint is restarted just as its planner is replaced. The new planner names the new run as owner and took its lease as over, as the run before had lost it. But the earlier planner, which had not stopped yet, still reached the endpoint and granted the keys to the new run, which accepts any fencing token; the new planner did not reach it, found it silent and gave the keys away at once.

Ruled out: the restore (the schedule has none before); late orders (the grant was sent and arrived in time).

Change: a change of the owner's run alone keeps the bound of its lease.

Test: ownership_is_exclusive_when_an_earlier_planner_grants_keys_to_a_restarted_endpoint, red before (key 5157 at 4777 ms is held by i-0 and i-1).

--- a/src/core/ownership/mod.rs
+++ b/src/core/ownership/mod.rs
@@ -1252,7 +1252,11 @@
             },
             None => Phase::Granting,
         };
-        segment.lease_end = now;
+        // An earlier planner may have granted the keys to the new run of the same endpoint.
+        let endpoint = |owner: &Option<Owner>| owner.as_ref().map(|owner| owner.endpoint.clone());
+        if endpoint(&segment.owner) != endpoint(&change.owner) {
+            segment.lease_end = now;
+        }
         segment.prior_lease_end = None;
         segment.owner = change.owner.clone();
     }
--- a/tests/suite/ownership_simulation.rs
+++ b/tests/suite/ownership_simulation.rs
@@ -188,13 +188,14 @@
     ..NO_FAULTS
 };
 
+const RESTORED_STORE_AND_ALL_FAULTS: Faults = Faults {
+    restore: 0.05,
+    ..ALL_FAULTS
+};
+
 #[test]
 fn ownership_is_exclusive_when_the_store_is_restored_from_an_old_copy() {
-    let all_faults = Faults {
-        restore: 0.05,
-        ..ALL_FAULTS
-    };
-    for faults in [RESTORED_STORE, all_faults] {
+    for faults in [RESTORED_STORE, RESTORED_STORE_AND_ALL_FAULTS] {
         for seed in 0..SEED_COUNT {
             if let Err(failure) = run_schedule(seed, faults, Mutation::None) {
                 panic!("seed {seed}: {failure}");
@@ -216,6 +217,15 @@
     }
 }
 
+#[test]
+fn ownership_is_exclusive_when_an_earlier_planner_grants_keys_to_a_restarted_endpoint() {
+    // The new planner does not reach the endpoint, the earlier one does.
+    const SEED: u64 = 1_238;
+    if let Err(failure) = run_schedule(SEED, RESTORED_STORE_AND_ALL_FAULTS, Mutation::None) {
+        panic!("seed {SEED}: {failure}");
+    }
+}
+
 /// Returns whether a schedule with the mutation leads to two holders of a key.
 ///
 /// `first_seed` is a seed that is known to do so; the search continues with the
