--- a/src/core/ownership/mod.rs
+++ b/src/core/ownership/mod.rs
@@ -32,9 +32,17 @@
 //!   writes a table that allows them first, so its successor knows how long the
 //!   leases of endpoints that it cannot reach may last.
 
+mod history;
 mod order;
 mod table;
 
+pub use history::{
+    is_restored,
+    possible_planners,
+    Basis,
+    History,
+    Planned, //
+};
 pub use order::{
     Completion,
     Grant,
@@ -42,13 +50,8 @@
     Release, //
 };
 pub use table::{
-    is_restored,
-    possible_planners,
-    Basis,
     Claim,
-    History,
     Owner,
-    Planned,
     Range,
     Table, //
 };
--- a/src/core/ownership/table.rs
+++ b/src/core/ownership/table.rs
@@ -1,14 +1,13 @@
 //! The ownership table of a service: its planner and the owner of each key range.
 
 use crate::core::ownership::{
+    is_restored,
+    Basis,
     MAX_LEASE_DURATION,
     MIN_LEASE_DURATION, //
 };
 use std::time::Duration;
 
-/// Era of a store that was never restored.
-const FIRST_ERA: u64 = 1;
-
 /// Number of bits for the fencing tokens of one era of the store.
 const FENCE_BITS: u32 = 32;
 
@@ -30,37 +29,6 @@
         pub run: u64,
     }
 
-    /// What a process may have leased as the planner of a service.
-    #[derive(Copy)]
-    pub struct Planned {
-        /// Highest fencing token of its last table.
-        pub last_fence: u64,
-        /// Longest lease that its last table allowed, in milliseconds.
-        pub lease_ms: u64,
-    }
-
-    /// What a process tells of the time before a claim of another process.
-    #[derive(Copy)]
-    pub struct History {
-        /// What it planned last, if anything.
-        pub planned: Option<Planned>,
-        /// Time since its start, in milliseconds. Earlier runs of the VM granted nothing since
-        /// then.
-        pub uptime_ms: u64,
-    }
-
-    /// Identifies the table that a claim in a later era of the store started from.
-    pub struct Basis {
-        /// Planner that wrote it.
-        pub claim: Claim,
-        /// Fencing token with which that planner took the claim.
-        pub claim_fence: u64,
-        /// Its highest fencing token.
-        pub last_fence: u64,
-        /// Longest lease that it allowed, in milliseconds.
-        pub lease_ms: u64,
-    }
-
     /// A range of adjacent keys with one owner.
     pub struct Range {
         /// First key.
@@ -104,30 +72,6 @@
     }
 }
 
-impl Basis {
-    /// Returns the basis for a service of which no table is known.
-    fn unknown() -> Self {
-        Self {
-            claim: Claim::unknown(),
-            claim_fence: 0,
-            last_fence: 0,
-            lease_ms: MIN_LEASE_DURATION.as_millis() as u64,
-        }
-    }
-
-    /// Returns whether this table includes all that a process leased as planner.
-    ///
-    /// A planner raises the fencing token when it takes the claim, so a claim with a higher one
-    /// than another planner ever used was made with that planner's last table known.
-    pub fn includes(&self, planner: &Claim, planned: Planned) -> bool {
-        if *planner == self.claim {
-            self.last_fence >= planned.last_fence
-        } else {
-            self.claim_fence > planned.last_fence
-        }
-    }
-}
-
 impl Claim {
     /// Returns the claim of a process that is not known; it never ends.
     pub fn unknown() -> Self {
@@ -143,7 +87,7 @@
     ///
     /// Every owner keeps its keys under a higher fencing token. `era` is that of
     /// the store, and `others` are the processes that may have planned the service
-    /// in an earlier era, see [`possible_planners`]. `has_ended` returns whether
+    /// in an earlier era, see [`possible_planners`](super::possible_planners). `has_ended` returns whether
     /// the process behind a claim has certainly ended.
     pub fn claimed(
         current: Option<&Self>,
@@ -219,29 +163,6 @@
     }
 }
 
-/// Returns whether the known table of a service, if there is one, may lack changes because the
-/// store was restored before the present era.
-pub fn is_restored(table: Option<&Table>, era: u64) -> bool {
-    // A store that was never restored has lost no table.
-    table.map_or(era > FIRST_ERA, |table| table.era < era)
-}
-
-/// Returns the processes other than `own` that may have planned a service in an earlier era of
-/// the store, given all known VMs.
-///
-/// A VM that knows nothing from that era may not know all of them.
-pub fn possible_planners(
-    members: impl Iterator<Item = Claim>,
-    own: &Claim,
-    knows_earlier_era: bool,
-) -> Vec<Claim> {
-    let unknown = (!knows_earlier_era).then(Claim::unknown);
-    members
-        .filter(|claim| claim != own)
-        .chain(unknown)
-        .collect()
-}
-
 /// Returns the longest lease of planners that did not record it in the table.
 fn longest_lease_ms() -> u64 {
     MAX_LEASE_DURATION.as_millis() as u64
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -9,6 +9,7 @@
 //! from the store.
 
 pub mod attempt;
+pub mod claim;
 pub mod datagram;
 pub mod dispatcher;
 pub mod error_response;
