Keep a rate limit until an endpoint serves a request without naming one

An endpoint in need could get more than the rate that it named: found by reading, not seen by callers.

Cause: a response to a request that the endpoint rejected, such as one for a key that it no longer holds, ended the limit if it lacked the header. A 421 may even come from another endpoint at the same address. Class: absence of a statement taken for a statement.

Ruled out: rejections with 503, which were passed over already.

Change: only a successful response ends a limit, and a 421 says nothing about limits.

Test: router::rate_limit_is_not_ended_by_responses_to_rejected_requests, red before (38 requests in 4 s, allowed 23). The stand-in names limits only in responses to requests that it ran, and echoes the identity of a request in rejections too, as the platform says. The check of the users' bound and that of the use of a limit are two functions now.

--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -244,9 +244,10 @@
 
 /// Records the rate limit that an endpoint names in its response, or that it names none.
 fn record_rate_limit(state: &State, endpoint: &Endpoint, response: &Response<pool::Stream>) {
+    let status = response.status();
     let limit = response.headers().get(&state.fields.rate_limit);
-    if limit.is_none() && response.status().is_server_error() {
-        // Such a response may not come from the endpoint's usual code.
+    if status == StatusCode::MISDIRECTED_REQUEST || limit.is_none() && !status.is_success() {
+        // Another endpoint may have sent the first; others may not come from the usual code.
         return;
     }
     let text = limit.map(|limit| limit.to_str().unwrap_or_default());
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -421,11 +421,16 @@
     succeeded.load(Ordering::SeqCst) as f64 / sent.load(Ordering::SeqCst).max(1) as f64
 }
 
-/// Asserts that no window of [`LIMIT_WINDOW`] after `since` has more arrivals than the platform's
-/// users allow, and that at least half of the limit is used.
-fn assert_rate(server: &Server, per_s: f64, since: Instant) {
+/// Returns when requests arrived at an endpoint after `since`.
+fn arrivals(server: &Server, since: Instant) -> Vec<Instant> {
     let arrivals = server.arrivals.lock().unwrap();
-    let counted: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= since).collect();
+    arrivals.iter().copied().filter(|at| *at >= since).collect()
+}
+
+/// Asserts that no window of [`LIMIT_WINDOW`] after `since` has more arrivals than the platform's
+/// users allow.
+fn assert_within_limit(server: &Server, per_s: f64, since: Instant) {
+    let counted = arrivals(server, since);
     let allowed = 1.5 * per_s * LIMIT_WINDOW.as_secs_f64() + 5.0;
     for (index, first) in counted.iter().enumerate() {
         let in_window = counted[index..].iter();
@@ -439,7 +444,12 @@
             server.endpoint.id
         );
     }
-    let used = counted.len() as f64 / since.elapsed().as_secs_f64();
+}
+
+/// Asserts the same, and that at least half of the limit is used.
+fn assert_rate(server: &Server, per_s: f64, since: Instant) {
+    assert_within_limit(server, per_s, since);
+    let used = arrivals(server, since).len() as f64 / since.elapsed().as_secs_f64();
     assert!(
         used >= per_s / 2.0,
         "{} named {per_s} requests a second and got only {used:.1}",
@@ -497,6 +507,19 @@
     }
 }
 
+#[test]
+fn rate_limit_is_not_ended_by_responses_to_rejected_requests() {
+    const PER_S: f64 = 3.0;
+    let system = System::start("limit-rejected", 2);
+    let limited = &system.keyed[0];
+    limited.set_rate_limit(Some(PER_S));
+    let began = Instant::now();
+    load(&system, &[0, 1], began + LIMIT_GRACE);
+    limited.set_mode(Mode::Misdirect);
+    load(&system, &[0, 1], Instant::now() + LIMIT_WINDOW);
+    assert_within_limit(limited, PER_S, began + LIMIT_GRACE);
+}
+
 #[test]
 fn overdue_idempotent_request_is_hedged() {
     let mut system = System::start("overdue", 2);
--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -291,6 +291,8 @@
     Silent,
     /// Refuses requests without running them.
     Shed,
+    /// Refuses requests as if it did not hold their keys.
+    Misdirect,
     /// Runs requests and responds with a server error.
     Fail,
 }
@@ -365,7 +367,8 @@
         *self.mode.lock().unwrap() = mode;
     }
 
-    /// Names a limit, in requests per second, in all answers from now on, or names none.
+    /// Names a limit, in requests per second, in the responses to all requests that it runs from
+    /// now on, or names none.
     pub fn set_rate_limit(&self, per_s: Option<f64>) {
         *self.rate_limit.lock().unwrap() = per_s;
     }
@@ -389,7 +392,8 @@
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
         self.arrivals.lock().unwrap().push(Instant::now());
         let mut response = self.serve(request).await;
-        if let Some(per_s) = *self.rate_limit.lock().unwrap() {
+        let has_run = !response.headers().contains_key(fields().not_run);
+        if let (Some(per_s), true) = (*self.rate_limit.lock().unwrap(), has_run) {
             let value = HeaderValue::from_str(&per_s.to_string()).unwrap();
             response.headers_mut().insert(fields().rate_limit, value);
         }
@@ -409,15 +413,17 @@
         let mode = *self.mode.lock().unwrap();
         let is_target = text(&fields.target).as_ref() == Some(&self.endpoint.id);
         let is_held = !self.is_keyed || key.is_some_and(|key| self.holds(key));
-        if !is_target || !is_held || mode == Mode::Shed {
+        let is_refusing = matches!(mode, Mode::Shed | Mode::Misdirect);
+        if !is_target || !is_held || is_refusing {
             let status = if mode == Mode::Shed && is_target {
                 StatusCode::SERVICE_UNAVAILABLE
             } else {
                 StatusCode::MISDIRECTED_REQUEST
             };
             let mut response = answer(status, "text/plain", "not run");
-            let true_value = HeaderValue::from_static("1");
-            response.headers_mut().insert(fields.not_run, true_value);
+            let headers = response.headers_mut();
+            headers.insert(fields.not_run, HeaderValue::from_static("1"));
+            headers.insert(fields.request_id, HeaderValue::from_str(&id).unwrap());
             return response;
         }
         self.runs.lock().unwrap().push(id.clone());
