Do not plan under a claim if the VM has confirmed a later one

Found by reading; two endpoints could hold a key, not seen by callers.

Cause: a VM that is told of a later claim confirms that it grants no keys, and its claim is then no longer waited for. If the response to its own write of an earlier claim was still on the way, it became planner all the same, until it read the newer table. Class: a promise that is given before all that it covers has ended.

Ruled out: the check for a newer table in the planner's loop, as the VM may not have read it yet.

Change: the latest claim that a process confirmed is stored with the service, and no planner starts under an earlier one.

Test: router::claim_is_not_used_after_the_vm_confirmed_a_later_one, red without the check (the VM granted keys).

--- a/src/router/dispatcher.rs
+++ b/src/router/dispatcher.rs
@@ -84,6 +84,9 @@
     pub planner: Option<Planner>,
     /// What this process planned before the present planner, if anything.
     pub planned: Option<Planned>,
+    /// Revision of the latest claim of which this process confirmed that it grants no keys
+    /// under an earlier one.
+    pub yielded_to: u64,
     view: Arc<View>,
     /// When a permit was last requested.
     pub last_requested: Instant,
@@ -194,6 +197,7 @@
                 rates: Rates::default(),
                 planner: None,
                 planned: None,
+                yielded_to: 0,
                 view: Arc::new(View::default()),
                 last_requested: now,
                 submitted: Vec::new(),
--- a/src/router/planner.rs
+++ b/src/router/planner.rs
@@ -220,7 +220,11 @@
         let job = dispatcher::job(state, &service);
         let mut inner = job.inner.lock().unwrap();
         let planner = inner.planner.as_mut();
-        planner.is_none_or(|planner| planner.on_successor_claimed(revision))
+        let has_stopped = planner.is_none_or(|planner| planner.on_successor_claimed(revision));
+        if has_stopped {
+            inner.yielded_to = inner.yielded_to.max(revision);
+        }
+        has_stopped
     };
     if has_stopped {
         let datagram = Datagram::Yielded {
@@ -261,7 +265,16 @@
 /// Plans a service until the claim is lost.
 async fn run_planner(state: &Arc<State>, service: &str, planner: Planner) {
     let job = dispatcher::job(state, service);
-    job.inner.lock().unwrap().planner = Some(planner);
+    {
+        let mut inner = job.inner.lock().unwrap();
+        // The notice of a later claim may arrive before the response to the write of this one.
+        if planner.claim_revision() < inner.yielded_to {
+            let revision = planner.claim_revision();
+            log::info!("event=claim_outdated service={service} revision={revision}");
+            return;
+        }
+        inner.planner = Some(planner);
+    }
     let channels: Channels = Arc::default();
     let mut last_tick = clock::now();
     let mut last_decay = clock::now();
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -35,7 +35,10 @@
         http::full,
         pool,
         runtime::Context,
-        wire::encode_compact, //
+        wire::{
+            decode,
+            encode_compact, //
+        }, //
     },
     router::{
         permit_client,
@@ -312,6 +315,43 @@
     });
 }
 
+#[test]
+fn claim_is_not_used_after_the_vm_confirmed_a_later_one() {
+    // Longer than the leases of so few ranges.
+    const LEASE_MARGIN: Duration = Duration::from_secs(3);
+    let mut system = System::start("claim-late", 1);
+    let service = system.keyed[0].endpoint.service.clone();
+    let claimant = system.add_vm();
+    let (name, state) = {
+        let state = &system.routers[claimant].state;
+        (state.settings.name.clone(), Arc::clone(state))
+    };
+    assert!(wait_until(READY_TIMEOUT, || state.is_registered()));
+    system.store.set_responses_held(true);
+    system.routers[0].state.begin_shutdown();
+    let has_claimed = || {
+        let table = system.store.table(&service);
+        table.is_some_and(|table| table.claim.node == name)
+    };
+    assert!(wait_until(READY_TIMEOUT, has_claimed));
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(READY_TIMEOUT)).unwrap();
+    let claimed = wire::Datagram::Claimed {
+        service: service.clone(),
+        run: state.run,
+        revision: u64::MAX,
+    };
+    let address = state.settings.listen.datagrams;
+    socket.send_to(&encode_compact(&claimed), address).unwrap();
+    let mut reply = [0; 1_024];
+    let (length, _) = socket.recv_from(&mut reply).expect("the VM must confirm");
+    let reply: wire::Datagram = decode(&reply[..length]).unwrap();
+    assert!(matches!(reply, wire::Datagram::Yielded { .. }));
+    system.store.set_responses_held(false);
+    thread::sleep(LEASE_MARGIN);
+    assert!(system.owner(7).is_none(), "the VM granted keys");
+}
+
 #[test]
 fn endpoint_unknown_to_the_requesting_vm_is_used() {
     // Guards against the following fault: a VM returned permits for endpoints that it did not
--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -22,7 +22,8 @@
         ownership::{
             Grant,
             Outcome,
-            Release, //
+            Release,
+            Table, //
         },
         registry::Endpoint,
         retry_limit::Limit,
@@ -137,6 +138,7 @@
     state: Mutex<(u64, Vec<Object>)>,
     is_down: AtomicBool,
     are_watches_stalled: AtomicBool,
+    are_responses_held: AtomicBool,
     /// Number of calls so far.
     pub calls: AtomicU64,
 }
@@ -161,6 +163,20 @@
             .store(are_watches_stalled, Ordering::SeqCst);
     }
 
+    /// Withholds the responses to writes, or sends them.
+    pub fn set_responses_held(&self, are_responses_held: bool) {
+        self.are_responses_held
+            .store(are_responses_held, Ordering::SeqCst);
+    }
+
+    /// Returns the table of a service.
+    pub fn table(&self, service: &str) -> Option<Arc<Table>> {
+        match self.get(Kind::Table, service)?.value {
+            Some(Value::Table(table)) => Some(table),
+            _ => None,
+        }
+    }
+
     /// Writes an object unconditionally.
     pub fn put(&self, kind: Kind, name: &str, value: Option<Value>) -> u64 {
         let mut state = self.state.lock().unwrap();
@@ -268,7 +284,11 @@
             let store = Arc::clone(&put_store);
             Box::pin(async move {
                 store.begin_call()?;
-                store.write(&write)
+                let written = store.write(&write);
+                while store.are_responses_held.load(Ordering::SeqCst) {
+                    sleep(WATCH_POLL_INTERVAL).await;
+                }
+                written
             })
         }),
         remove: Box::new(move |kind, name, _| {
