--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod copy;
 mod explore;
 mod holder;
+mod keyed_limits;
 mod log_trace;
 mod overload;
 mod ownership;
