--- a/tests/suite/keyed_limits.rs
+++ b/tests/suite/keyed_limits.rs
@@ -112,13 +112,23 @@
     orders: Vec<(Instant, Order)>,
     callers: Vec<Caller>,
     events: BinaryHeap<Reverse<(Instant, Event)>>,
-    /// Permit number, caller, endpoint, key, and start of each running request.
-    running: Vec<(u64, usize, usize, u16, Instant)>,
+    running: Vec<Run>,
     /// Caller of each permit number.
     numbers: Vec<usize>,
+    /// When each endpoint got its requests.
     sent: Vec<Vec<Instant>>,
 }
 
+/// A request that an endpoint runs.
+struct Run {
+    /// Number of its permit.
+    number: u64,
+    caller: usize,
+    endpoint: usize,
+    key: u16,
+    began: Instant,
+}
+
 fn is_limited(now: Instant) -> bool {
     now >= START.after(LIMITED_AT)
 }
@@ -218,21 +228,21 @@
         match event {
             Event::Arrive(caller) => self.submit(caller),
             Event::End(number) => {
-                let position = self.running.iter().position(|run| run.0 == number);
-                let (_, caller, endpoint, _, began) = self.running.swap_remove(position.unwrap());
-                let took = self.now.since(began);
-                let limit = self.limits[endpoint].filter(|_| is_limited(began));
+                let position = self.running.iter().position(|run| run.number == number);
+                let run = self.running.swap_remove(position.unwrap());
+                let took = self.now.since(run.began);
+                let limit = self.limits[run.endpoint].filter(|_| is_limited(run.began));
                 if let Some(per_s) = limit {
                     let report = Report {
                         per_1000_s: Some((per_s * 1_000.0) as u64),
                         age_us: 0,
                     };
-                    let id = &self.endpoints[endpoint].id;
+                    let id = &self.endpoints[run.endpoint].id;
                     self.dispatcher.merge_rate_limit(id, report, self.now);
                 }
                 self.dispatcher
                     .complete(id(number), Outcome::Answered, took, self.now);
-                self.callers[caller].served_at = Some(self.now);
+                self.callers[run.caller].served_at = Some(self.now);
             }
         }
     }
@@ -296,11 +306,21 @@
             let tail = if self.rng.random_bool(0.03) { 5.0 } else { 1.0 };
             let mut took = SERVICE_TIME.mul_f64(spread * tail / SPEEDS[endpoint]);
             // A slot may have to become free first.
-            let busy = self.running.iter().filter(|run| run.2 == endpoint).count();
+            let busy = self
+                .running
+                .iter()
+                .filter(|run| run.endpoint == endpoint)
+                .count();
             if busy >= 2 {
                 took += SERVICE_TIME.mul_f64(0.5 / SPEEDS[endpoint]);
             }
-            self.running.push((number, caller, endpoint, key, now));
+            self.running.push(Run {
+                number,
+                caller,
+                endpoint,
+                key,
+                began: now,
+            });
             let end = now.after(took);
             self.events.push(Reverse((end, Event::End(number))));
         }
@@ -352,9 +372,8 @@
                 Order::Released(endpoint, release) => {
                     let mut running = self.running.iter();
                     let is_busy = running.any(|run| {
-                        self.endpoints[run.2].id == endpoint.id
-                            && release.from <= run.3
-                            && run.3 <= release.to
+                        self.endpoints[run.endpoint].id == endpoint.id
+                            && (release.from..=release.to).contains(&run.key)
                     });
                     if is_busy {
                         let retry = Order::Released(endpoint, release);
