--- a/src/core/ownership/mod.rs
+++ b/src/core/ownership/mod.rs
@@ -26,8 +26,8 @@
 //!   gives to others. The next planner therefore grants nothing until each other
 //!   process has told that it stopped planning, and what it planned. If the table
 //!   does not include all of that, or a process was started lately or does not
-//!   answer, it waits until all leases from before have expired. Its fencing tokens are above all those
-//!   of earlier eras of the store.
+//!   answer, it waits until all leases from before have expired. Its fencing
+//!   tokens are above all those of earlier eras of the store.
 //! - No lease is longer than the table allows. A planner that needs longer ones
 //!   writes a table that allows them first, so its successor knows how long the
 //!   leases of endpoints that it cannot reach may last.
--- a/src/core/ownership/table.rs
+++ b/src/core/ownership/table.rs
@@ -86,9 +86,9 @@
     /// Returns the table that makes `claim` the planner.
     ///
     /// Every owner keeps its keys under a higher fencing token. `era` is that of
-    /// the store, and `others` are the processes that may have planned the service
-    /// in an earlier era, see [`possible_planners`](super::possible_planners). `has_ended` returns whether
-    /// the process behind a claim has certainly ended.
+    /// the store, and `others` are the [`possible_planners`](super::possible_planners)
+    /// in an earlier era. `has_ended` returns whether the process behind a claim has
+    /// certainly ended.
     pub fn claimed(
         current: Option<&Self>,
         service: &str,
