--- a/src/core/ownership/mod.rs
+++ b/src/core/ownership/mod.rs
@@ -267,7 +267,12 @@
             CLAIM_VALIDITY
         };
         let predecessors_until = now.after(predecessor_wait);
-        let lease_end = predecessors_until.after(max_time_to_expiry(table.longest_lease()));
+        let longest_lease = match table.earlier.is_empty() {
+            true => table.longest_lease(),
+            // What is granted just before the claim expires, see `lease_limit`.
+            false => MIN_LEASE_DURATION,
+        };
+        let lease_end = predecessors_until.after(max_time_to_expiry(longest_lease));
         let segments = table.ranges.iter().map(|range| Segment {
             from: range.from,
             to: range.to,
@@ -563,6 +568,18 @@
             .binary_search_by(|session| (*session.endpoint.id).cmp(endpoint))
     }
 
+    /// Returns the longest lease that may be granted now; `None` if none may.
+    ///
+    /// Leases become shorter before the claim expires, so that a planner that cannot reach this
+    /// one knows when the last of them ends, however long leases are.
+    pub fn lease_limit(&self, now: Instant) -> Option<Duration> {
+        let remaining = CLAIM_VALIDITY.checked_sub(self.claim_age(now))?;
+        // The clock of an endpoint measures it.
+        let remaining = remaining * 100 / (100 + MAX_CLOCK_DRIFT_PERCENT);
+        self.is_claim_valid(now)
+            .then_some(remaining + MIN_LEASE_DURATION)
+    }
+
     /// Returns the duration of new leases.
     pub fn lease_duration(&self) -> Duration {
         self.wanted_lease_duration(self.segments.len())
@@ -964,7 +981,10 @@
     }
 
     fn grant(&mut self, actions: &mut Vec<Action>, now: Instant) {
-        let lease_duration = self.lease_duration();
+        let Some(lease_limit) = self.lease_limit(now) else {
+            return;
+        };
+        let lease_duration = self.lease_duration().min(lease_limit);
         for index in 0..self.sessions.len() {
             let session = &self.sessions[index];
             if session.is_order_pending || now < session.next_order {
--- a/src/router/planner.rs
+++ b/src/router/planner.rs
@@ -555,11 +555,10 @@
     (state.lease.release)(endpoint, release, RELEASE_TIMEOUT).await
 }
 
-/// Returns whether this VM may still send the grants of its planner.
-fn may_grant(job: &Job) -> bool {
+/// Returns the longest lease that this VM's planner may grant now, if any.
+fn lease_limit(job: &Job) -> Option<Duration> {
     let inner = job.inner.lock().unwrap();
-    let planner = inner.planner.as_ref();
-    planner.is_some_and(|planner| planner.is_claim_valid(clock::now()))
+    inner.planner.as_ref()?.lease_limit(clock::now())
 }
 
 /// Sends grants in order, up to the first one that fails or that may no longer be sent.
@@ -584,10 +583,11 @@
             return results;
         }
     };
-    for grant in grants {
-        if !may_grant(job) {
+    for mut grant in grants {
+        let Some(lease_limit) = lease_limit(job) else {
             break;
-        }
+        };
+        grant.duration = grant.duration.min(lease_limit);
         let sent = clock::now();
         metrics::counter!("rhubarbpick_orders_total", "kind" => "grant").increment(1);
         let outcome = (channel.grant)(grant.clone()).await;
--- a/tests/suite/takeover.rs
+++ b/tests/suite/takeover.rs
@@ -12,7 +12,8 @@
         Outcome,
         Planner,
         Status,
-        Table, //
+        Table,
+        CLAIM_VALIDITY, //
     },
     rebalance::Rates,
     registry::Endpoint,
@@ -229,6 +230,28 @@
     );
 }
 
+#[test]
+fn keys_are_granted_in_time_after_a_restore_though_a_vm_is_lost() {
+    // The platform's users allow this time for a recovery.
+    const RECOVERY_TIME: Duration = Duration::from_secs(15);
+    let (mut world, mut planner) = World::new(16);
+    world.run(&mut planner, Duration::from_secs(2));
+    let began = world.now;
+    let copied = world.table.clone();
+    let mut successor = world.take_claim_of_restored(2, &copied);
+    successor.on_own_history(NO_HISTORY, began);
+    while world.unowned_keys(&successor) > 0 {
+        successor.confirm_claim(world.now);
+        world.step(&mut successor);
+        let time = world.now.since(began);
+        assert!(
+            time < RECOVERY_TIME,
+            "{} keys",
+            world.unowned_keys(&successor)
+        );
+    }
+}
+
 #[test]
 fn planner_yields_only_after_its_last_grant_has_ended() {
     // A VM that is short of CPU time sends a grant late. Its successor must not count the
@@ -265,6 +288,40 @@
     assert_eq!(world.unowned_keys(&planner), 0);
 }
 
+#[test]
+fn leases_become_shorter_before_the_claim_expires() {
+    // A successor that cannot reach the planner counts its last lease as the shortest one.
+    const SHORTEST_LEASE: Duration = Duration::from_millis(1_300);
+    let (mut world, mut planner) = World::new(500);
+    for _ in 0..200 {
+        world.step(&mut planner);
+    }
+    assert!(planner.lease_duration() > Duration::from_secs(4));
+    planner.confirm_claim(world.now);
+    let confirmed = world.now;
+    let mut last_grant = confirmed;
+    while world.now < confirmed.after(CLAIM_VALIDITY * 2) {
+        for action in world.tick(&mut planner) {
+            match &action {
+                // The store accepts nothing any more.
+                Action::Write(_) => continue,
+                Action::Grant(_, grants) => {
+                    last_grant = world.now;
+                    let latest = confirmed.after(CLAIM_VALIDITY + SHORTEST_LEASE);
+                    // The clock of an endpoint may run 2 % slow.
+                    let end = |duration: Duration| world.now.after(duration * 102 / 100);
+                    let mut durations = grants.iter().map(|grant| grant.duration);
+                    assert!(durations
+                        .all(|duration| end(duration) <= latest.after(SHORTEST_LEASE * 2 / 100)));
+                }
+                _ => {}
+            }
+            world.perform(&mut planner, action);
+        }
+    }
+    assert!(last_grant > confirmed.after(CLAIM_VALIDITY - SHORTEST_LEASE));
+}
+
 #[test]
 fn notice_of_an_earlier_claim_does_not_end_a_planner() {
     // The sender took the claim before this planner did, and its notice came late.
