Review: show that long uploads lose their body

Rule: UNASKED (a request runs with its body changed). Disruption: one entry of another writer in the store, a copy of a sound backend's entry under a name with a byte that no header can hold.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -77,6 +77,7 @@
         deadline: Duration::from_millis(2_500),
         pause: Duration::from_millis(50),
         body: 400,
+        chunked: false,
         keyed: false,
     };
     let stop = Arc::new(AtomicBool::new(false));
@@ -109,8 +110,8 @@
     for sent in record.all_sent() {
         let servers: Vec<&str> = runs
             .iter()
-            .filter(|(id, _)| *id == sent.id)
-            .map(|(_, server)| &**server)
+            .filter(|run| run.id == sent.id)
+            .map(|run| &*run.server)
             .collect();
         if servers.len() > 1 {
             violations.push(format!(
@@ -192,6 +193,7 @@
         deadline: Duration::from_millis(4_000),
         pause: Duration::from_millis(100),
         body: 0,
+        chunked: false,
         keyed: false,
     };
     let stop = Arc::new(AtomicBool::new(false));
@@ -241,20 +243,14 @@
         deadline: Duration::from_millis(2_000),
         pause: Duration::from_millis(100),
         body: 0,
+        chunked: false,
         keyed: true,
     };
     let stop = Arc::new(AtomicBool::new(false));
     let clients = client::spawn(&load, 9, &record, &stop);
     thread::sleep(Duration::from_secs(4));
     if has_trouble {
-        let config = &cluster.servers[0].config;
-        let name = format!("{}\u{1}", config.id);
-        record.line(&format!(
-            "another writer makes the entry {name:?} in the store"
-        ));
-        cluster
-            .store
-            .put("servers", &name, cluster::entry(config, "ready"));
+        add_foreign_entry(&cluster);
     }
     let end = Instant::now() + Duration::from_secs(25);
     while Instant::now() < end {
@@ -283,6 +279,65 @@
     Ok(Vec::new())
 }
 
+/// UNASKED: an entry of another writer; the bodies of long uploads have to stay whole.
+pub fn upload(record: Record, has_trouble: bool) -> Result {
+    const LENGTH: usize = 1_500_000;
+    let target = "\"service\":\"intake\"";
+    let routes = [route("cert", "upload", 1_200, target)];
+    let mut cluster = Cluster::start(record.clone(), 2, &manifest(7, &["intake"], &routes))?;
+    let sound = Arc::new(Trouble::default());
+    for _ in 0..4 {
+        cluster.add_server("intake", false, Duration::from_millis(50), &sound)?;
+    }
+    cluster.wait_ready()?;
+    let load = Load {
+        fronts: cluster.fronts(),
+        method: "POST",
+        path: "/cert/1",
+        deadline: Duration::from_millis(2_500),
+        pause: Duration::from_millis(100),
+        body: LENGTH,
+        chunked: true,
+        keyed: false,
+    };
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients = client::spawn(&load, 8, &record, &stop);
+    thread::sleep(Duration::from_secs(4));
+    if has_trouble {
+        add_foreign_entry(&cluster);
+    }
+    thread::sleep(Duration::from_secs(15));
+    stop.store(true, Ordering::SeqCst);
+    for client in clients {
+        let _ = client.join();
+    }
+    settle();
+    let sent = record.all_sent();
+    let changed = record.runs().into_iter().filter(|run| run.length != LENGTH);
+    let violations = changed.map(|run| {
+        let answer = sent.iter().find(|sent| sent.id == run.id);
+        format!(
+            "UNASKED: server {} ran request {} with a body of {} bytes instead of {LENGTH}; the \
+             client got {}",
+            run.server,
+            run.id,
+            run.length,
+            answer.map_or(0, |sent| sent.status)
+        )
+    });
+    Ok(violations.collect())
+}
+
+/// Copies the entry of a sound backend under its name with the byte 0x01 at the end.
+fn add_foreign_entry(cluster: &Cluster) {
+    let config = &cluster.servers[0].config;
+    let name = format!("{}\u{1}", config.id);
+    let line = format!("another writer makes the entry {name:?} in the store");
+    cluster.record.line(&line);
+    let entry = cluster::entry(config, "ready");
+    cluster.store.put("servers", &name, entry);
+}
+
 /// CONFIG: a manifest splits routes by weights in parts per million.
 pub fn weights(record: Record, has_trouble: bool) -> Result {
     let split = |first: u64, second: u64| {
@@ -313,6 +368,7 @@
             deadline: Duration::from_millis(4_000),
             pause: Duration::from_millis(100),
             body: 0,
+            chunked: false,
             keyed: false,
         };
         clients.extend(client::spawn(&load, 4, &record, &stop));
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -24,10 +24,15 @@
     /// Pause of one client between two requests.
     pub pause: Duration,
     pub body: usize,
+    /// Whether the body is sent in chunks rather than with a length.
+    pub chunked: bool,
     /// Whether requests carry a key.
     pub keyed: bool,
 }
 
+/// Size of a chunk of a body that is sent in chunks.
+const CHUNK: usize = 16_384;
+
 static LAST_ID: AtomicU64 = AtomicU64::new(0);
 
 /// Runs `count` clients until `stop` is set.
@@ -81,9 +86,10 @@
         true => format!("Shard-Key: {}\r\n", number.wrapping_mul(40_503) % 65_536),
         false => String::new(),
     };
-    let body = match load.method {
-        "GET" => String::new(),
-        _ => format!("Content-Length: {}\r\n", load.body),
+    let body = match (load.method, load.chunked) {
+        ("GET", _) => String::new(),
+        (_, true) => "Transfer-Encoding: chunked\r\n".into(),
+        (_, false) => format!("Content-Length: {}\r\n", load.body),
     };
     let mut request = format!(
         "{} {} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\n{key}{body}\r\n",
@@ -92,7 +98,17 @@
         load.deadline.as_millis()
     )
     .into_bytes();
-    if load.method != "GET" {
+    if load.method != "GET" && load.chunked {
+        let mut left = load.body;
+        while left > 0 {
+            let size = left.min(CHUNK);
+            request.extend(format!("{size:x}\r\n").bytes());
+            request.extend(std::iter::repeat_n(b'b', size));
+            request.extend(b"\r\n");
+            left -= size;
+        }
+        request.extend(b"0\r\n\r\n");
+    } else if load.method != "GET" {
         request.extend(std::iter::repeat_n(b'b', load.body));
     }
     let answer = match connection.write(&request) {
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -17,6 +17,8 @@
     pub first_line: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// Length of the body, of which `body` may hold only the end.
+    pub length: usize,
 }
 
 impl Message {
@@ -113,6 +115,7 @@
             first_line,
             headers,
             body: Vec::new(),
+            length: 0,
         })
     }
 
@@ -135,13 +138,12 @@
     }
 
     /// Reads the body that belongs to a head. At most the last 64 KiB are kept, so that a body
-    /// without end does not fill the memory; `received` counts all bytes.
+    /// without end does not fill the memory; `length` counts all bytes.
     pub fn read_body(
         &mut self,
         message: &mut Message,
         is_response: bool,
         until: Instant,
-        received: &mut usize,
     ) -> Result<(), Failure> {
         let is_chunked = message
             .header("transfer-encoding")
@@ -153,7 +155,7 @@
                 let size = usize::from_str_radix(size, 16).map_err(|_| Failure::Malformed)?;
                 let mut part = self.read_exact(size + 2, until)?;
                 part.truncate(size);
-                *received += size;
+                message.length += size;
                 if size == 0 {
                     return Ok(());
                 }
@@ -165,12 +167,12 @@
         if let Some(length) = message.header("content-length") {
             let length: usize = length.parse().map_err(|_| Failure::Malformed)?;
             message.body = self.read_exact(length, until)?;
-            *received += length;
+            message.length = length;
             return Ok(());
         }
         if is_response {
             loop {
-                *received += std::mem::take(&mut self.buffer).len();
+                message.length += std::mem::take(&mut self.buffer).len();
                 match self.read_more(until) {
                     Ok(_) => {}
                     Err(Failure::Closed) => return Ok(()),
@@ -183,7 +185,7 @@
 
     pub fn read_request(&mut self, until: Instant) -> Result<Message, Failure> {
         let mut request = self.read_head(until)?;
-        self.read_body(&mut request, false, until, &mut 0)?;
+        self.read_body(&mut request, false, until)?;
         Ok(request)
     }
 
@@ -192,7 +194,7 @@
         if !response.first_line.starts_with("HTTP/1.") {
             return Err(Failure::Malformed);
         }
-        self.read_body(&mut response, true, until, &mut 0)?;
+        self.read_body(&mut response, true, until)?;
         Ok(response)
     }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -43,6 +43,7 @@
         "late-copy" => cases::late_copy(record.clone(), has_trouble),
         "endless" => cases::endless(record.clone(), has_trouble),
         "flood" => cases::flood(record.clone(), has_trouble),
+        "upload" => cases::upload(record.clone(), has_trouble),
         "entry" => cases::entry(record.clone(), has_trouble),
         "weights" => cases::weights(record.clone(), has_trouble),
         _ => Err(format!("no case is called {case}")),
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -20,9 +20,18 @@
     pub is_whole: bool,
 }
 
+/// One run of a request at a server.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: String,
+    pub server: String,
+    /// Length of the body that the server got.
+    pub length: usize,
+}
+
 struct Inner {
     file: BufWriter<File>,
-    runs: Vec<(String, String)>,
+    runs: Vec<Run>,
     sent: Vec<Sent>,
 }
 
@@ -60,10 +69,16 @@
     }
 
     /// Records that a server began to work on a request.
-    pub fn run(&self, server: &str, id: &str) {
-        self.line(&format!("server {server} runs {id}"));
+    pub fn run(&self, server: &str, id: &str, length: usize) {
+        self.line(&format!(
+            "server {server} runs {id} with a body of {length} bytes"
+        ));
         let mut inner = self.inner.lock().unwrap();
-        inner.runs.push((id.into(), server.into()));
+        inner.runs.push(Run {
+            id: id.into(),
+            server: server.into(),
+            length,
+        });
     }
 
     pub fn sent(&self, sent: Sent) {
@@ -80,7 +95,7 @@
         self.inner.lock().unwrap().sent.push(sent);
     }
 
-    pub fn runs(&self) -> Vec<(String, String)> {
+    pub fn runs(&self) -> Vec<Run> {
         self.inner.lock().unwrap().runs.clone()
     }
 
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -268,13 +268,13 @@
         }
         places.0 += 1;
         drop(places);
-        let answer = self.run_in_slot(id, key, deadline);
+        let answer = self.run_in_slot(id, key, request.length, deadline);
         self.places.lock().unwrap().0 -= 1;
         self.free.notify_one();
         answer
     }
 
-    fn run_in_slot(&self, id: &str, key: usize, deadline: Instant) -> Vec<u8> {
+    fn run_in_slot(&self, id: &str, key: usize, length: usize, deadline: Instant) -> Vec<u8> {
         if self.config.keyed {
             let mut running = self.running.lock().unwrap();
             let until = self.keys.lock().unwrap().until[key];
@@ -284,7 +284,7 @@
             }
             running.push(key);
         }
-        self.record.run(&self.config.id, id);
+        self.record.run(&self.config.id, id, length);
         let left = deadline.saturating_duration_since(Instant::now());
         std::thread::sleep(self.config.work.min(left));
         if self.config.keyed {
