--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] || exit 2
-exec target/review/standin weights review/5/record.txt
+exec target/review/standin endless review/5/record.txt
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -227,7 +227,7 @@
     Ok(unanswered(&record, 1_000))
 }
 
-/// Fault: an entry of another writer, with bytes in its name that can't be read.
+/// LOST and Fault: an entry of another writer, with bytes in its name that can't be read.
 pub fn entry(record: Record, has_trouble: bool) -> Result {
     let routes = [route("lot", "idempotent", 1_000, "\"service\":\"keyed\"")];
     let mut cluster = Cluster::start(record.clone(), 3, &manifest(7, &["keyed"], &routes))?;
@@ -266,6 +266,19 @@
             record.line(&format!("process {}: {panic}", cluster.vms[vm].name));
         }
     }
+    let runs = record.runs();
+    let lost = record
+        .all_sent()
+        .into_iter()
+        .filter(|sent| sent.is_kept && sent.is_closed && runs.iter().any(|run| run.id == sent.id));
+    let lost = lost.count();
+    let mut violations = Vec::new();
+    if lost > 3 {
+        violations.push(format!(
+            "LOST: {lost} requests from kept connections were passed on to sound backends, and \
+             the connections closed without an answer"
+        ));
+    }
     let bad: Vec<String> = cluster
         .vms
         .iter()
@@ -273,10 +286,12 @@
         .map(|vm| format!("{} {} times", vm.name, vm.ends.len()))
         .collect();
     if bad.len() >= 2 {
-        let text = format!("Fault: processes ended by themselves: {}", bad.join(", "));
-        return Ok(vec![text]);
+        violations.push(format!(
+            "Fault: processes ended by themselves: {}",
+            bad.join(", ")
+        ));
     }
-    Ok(Vec::new())
+    Ok(violations)
 }
 
 /// UNASKED: an entry of another writer; the bodies of long uploads have to stay whole.
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -18,6 +18,10 @@
     /// Status of the answer; 0 without a whole one.
     pub status: u16,
     pub is_whole: bool,
+    /// Whether the connection had served an earlier request.
+    pub is_kept: bool,
+    /// Whether the connection ended before a whole answer.
+    pub is_closed: bool,
 }
 
 /// One run of a request at a server.
@@ -84,6 +88,7 @@
     pub fn sent(&self, sent: Sent) {
         let answer = match (sent.is_whole, sent.status) {
             (true, status) => format!("{status}"),
+            (false, _) if sent.is_closed => "the connection ended without a whole answer".into(),
             (false, _) => "no whole answer".into(),
         };
         self.line(&format!(
