Check the id of every response, and never resend on a connection that rejected

Cause: `validate` took any 421 for a rejection of the request, without a look at its id, so a late second copy of the 421 to one request decided the next one on the connection. A 421 counts as "not run". Two more forms: - The same id: the router tries a rejected request again, and its second try on the same connection meets the copy of its own rejection. A caller that sends its request again under its id meets the same. - No id: accepted on any connection.

Ruled out: that the pool gives out connections with unread bytes (the HTTP library closes an idle connection on which bytes arrive; the copies come just before the next response), and hedged requests (only idempotent ones are hedged).

Change: the id is checked first. A connection remembers the requests that were rejected on it and is not used for them again; after 32 it is closed. A rejection without an id counts only as the first response of its connection.

--- a/src/kernel/pool.rs
+++ b/src/kernel/pool.rs
@@ -143,8 +143,35 @@
     }
 }
 
-/// Tells whether a response belongs to the request that was sent.
-pub type Check<'a> = dyn Fn(&Response<Incoming>) -> bool + Send + Sync + 'a;
+/// Which requests a connection may be used for after a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any request.
+    Any,
+    /// Any but the one that was sent, as a late copy of the response to it would be taken for
+    /// the response to its repetition.
+    Others,
+    /// None.
+    Never,
+}
+
+/// Decides from the head of a response how its connection may be used.
+pub type Check<'a> = dyn Fn(&Response<Incoming>) -> Reuse + Send + Sync + 'a;
+
+/// Maximum number of requests for which a connection must not be used; one with more is closed.
+const MAX_EXCLUDED: usize = 32;
+
+/// Conditions of an exchange.
+pub struct Terms<'a> {
+    /// Identity of the request; the same if it is sent again.
+    pub identity: u64,
+    /// Time limit for the head of the response.
+    pub span: Duration,
+    /// Longest idle time after which a connection is reused.
+    pub max_idle_time: Duration,
+    /// Decides how the connection may be used after the response.
+    pub check: &'a Check<'a>,
+}
 
 /// Pools by address, each created when it is first needed.
 pub struct Set {
@@ -190,7 +217,7 @@
         pools.retain(|pool| {
             let mut idle = pool.idle.lock().unwrap();
             idle.retain(|idle| {
-                idle.since.elapsed() < pool.config.idle_timeout && !idle.sender.is_closed()
+                idle.since.elapsed() < pool.config.idle_timeout && !idle.line.sender.is_closed()
             });
             !idle.is_empty() || Arc::strong_count(pool) > 1
         });
@@ -224,10 +251,17 @@
 }
 
 struct Idle {
-    sender: SendRequest<Body>,
+    line: Line,
     since: Instant,
 }
 
+/// An open connection.
+struct Line {
+    sender: SendRequest<Body>,
+    /// Identities of the requests for which it must not be used.
+    excluded: Vec<u64>,
+}
+
 /// Creates a pool without time limits; connections are opened when needed.
 pub fn open(context: &Context, address: SocketAddr, connections: usize) -> Arc<Pool> {
     open_with(context, address, Config::without_timeouts(connections))
@@ -288,35 +322,44 @@
         request: Request<Body>,
         span: Duration,
     ) -> Result<Response<Stream>, Box<Failure>> {
-        let accept_any = |_: &Response<Incoming>| true;
-        self.exchange(permit, request, span, Duration::MAX, &accept_any)
-            .await
+        let terms = Terms {
+            identity: 0,
+            span,
+            max_idle_time: Duration::MAX,
+            check: &|_| Reuse::Any,
+        };
+        self.exchange(permit, request, &terms).await
     }
 
-    /// Sends a request as [`send_with`](Self::send_with) does, but only on a new
-    /// connection or one that was idle for at most `max_idle_time`, and returns
-    /// the connection to the pool only if `check` accepts the response.
+    /// Sends a request as [`send_with`](Self::send_with) does, on a connection that `terms`
+    /// allow.
     pub async fn exchange(
         self: &Arc<Self>,
         permit: Permit,
         mut request: Request<Body>,
-        span: Duration,
-        max_idle_time: Duration,
-        check: &Check<'_>,
+        terms: &Terms<'_>,
     ) -> Result<Response<Stream>, Box<Failure>> {
-        let deadline = Instant::now() + span.min(MAX_SPAN);
+        let deadline = Instant::now() + terms.span.min(MAX_SPAN);
         loop {
-            let (mut sender, is_reused) = match self.connection(left(deadline), max_idle_time).await
-            {
+            let (mut line, is_reused) = match self.connection(left(deadline), terms).await {
                 Ok(connection) => connection,
                 Err(failure) => return Err(Failure::unsent(failure, request)),
             };
-            let sent = timeout(left(deadline), sender.try_send_request(request)).await;
+            let sent = timeout(left(deadline), line.sender.try_send_request(request)).await;
             match sent {
                 None => return Err(Failure::sent(Error::Late, is_reused)),
                 Some(Ok(response)) => {
-                    let is_reusable = check(&response);
-                    return Ok(self.wrap(response, sender, permit, is_reusable));
+                    let reuse = (terms.check)(&response);
+                    if reuse == Reuse::Others {
+                        line.excluded.push(terms.identity);
+                    }
+                    let checkout = Checkout {
+                        pool: Arc::clone(self),
+                        is_reusable: reuse != Reuse::Never && line.excluded.len() <= MAX_EXCLUDED,
+                        line,
+                        permit,
+                    };
+                    return Ok(response.map(|body| Stream::new(body, checkout, is_reused)));
                 }
                 Some(Err(mut error)) => match error.take_message() {
                     Some(unsent) if is_reused => request = unsent,
@@ -336,47 +379,47 @@
 
     /// Takes an idle connection, or opens one; also tells whether it was used
     /// before.
-    async fn connection(
-        &self,
-        span: Duration,
-        max_idle_time: Duration,
-    ) -> Result<(SendRequest<Body>, bool), Error> {
+    async fn connection(&self, span: Duration, terms: &Terms<'_>) -> Result<(Line, bool), Error> {
         loop {
-            let Some(mut sender) = self.take_idle(max_idle_time) else {
+            let Some(mut line) = self.take_idle(terms) else {
                 break;
             };
-            if let Some(Ok(())) = timeout(READY_TIMEOUT, sender.ready()).await {
-                return Ok((sender, true));
+            if let Some(Ok(())) = timeout(READY_TIMEOUT, line.sender.ready()).await {
+                return Ok((line, true));
             }
         }
         let connected = timeout(span.min(self.config.connect_timeout), self.connect()).await;
         let sender = connected.unwrap_or(Err(Error::Unreachable))?;
-        Ok((sender, false))
+        let excluded = Vec::new();
+        Ok((Line { sender, excluded }, false))
     }
 
-    /// Takes the most recently used idle connection, if it was idle for at most
-    /// `max_idle_time`.
-    fn take_idle(&self, max_idle_time: Duration) -> Option<SendRequest<Body>> {
+    /// Takes the most recently used of the idle connections that `terms` allow.
+    fn take_idle(&self, terms: &Terms<'_>) -> Option<Line> {
         let mut idle = self.idle.lock().unwrap();
-        let idle_time = idle.last()?.since.elapsed();
-        if idle_time > self.config.idle_timeout {
+        if idle.last()?.since.elapsed() > self.config.idle_timeout {
             idle.clear();
             return None;
         }
-        (idle_time <= max_idle_time).then(|| idle.pop().map(|idle| idle.sender))?
+        let index = idle
+            .iter()
+            .rposition(|idle| !idle.line.excluded.contains(&terms.identity))?;
+        let idle_time = idle[index].since.elapsed();
+        let is_allowed = idle_time <= terms.max_idle_time.min(self.config.idle_timeout);
+        is_allowed.then(|| idle.remove(index).line)
     }
 
-    fn return_idle(&self, sender: SendRequest<Body>) {
+    fn return_idle(&self, line: Line) {
         let mut idle = self.idle.lock().unwrap();
         let max_count = self.max_idle_count.load(Ordering::Relaxed);
-        if max_count == 0 || sender.is_closed() {
+        if max_count == 0 || line.sender.is_closed() {
             return;
         }
         if idle.len() >= max_count {
             idle.remove(0);
         }
         idle.push(Idle {
-            sender,
+            line,
             since: Instant::now(),
         });
     }
@@ -400,30 +443,6 @@
         });
         Ok(sender)
     }
-
-    fn wrap(
-        self: &Arc<Self>,
-        response: Response<Incoming>,
-        sender: SendRequest<Body>,
-        permit: Permit,
-        is_reusable: bool,
-    ) -> Response<Stream> {
-        response.map(|body| {
-            let mut answer = Stream {
-                body,
-                checkout: Some(Checkout {
-                    pool: Arc::clone(self),
-                    sender,
-                    permit,
-                    is_reusable,
-                }),
-            };
-            if answer.body.is_end_stream() {
-                answer.release();
-            }
-            answer
-        })
-    }
 }
 
 /// Tells whether a connection was closed because sent data stayed unacknowledged.
@@ -458,7 +477,7 @@
 /// The connection of a response that is being read.
 struct Checkout {
     pool: Arc<Pool>,
-    sender: SendRequest<Body>,
+    line: Line,
     permit: Permit,
     is_reusable: bool,
 }
@@ -466,16 +485,34 @@
 /// Body of a response; returns its connection to the pool when read to the end.
 pub struct Stream {
     body: Incoming,
-    checkout: Option<Checkout>,
+    checkout: Option<Box<Checkout>>,
+    is_reused: bool,
 }
 
 impl Stream {
+    fn new(body: Incoming, checkout: Checkout, is_reused: bool) -> Self {
+        let mut stream = Self {
+            body,
+            checkout: Some(Box::new(checkout)),
+            is_reused,
+        };
+        if stream.body.is_end_stream() {
+            stream.release();
+        }
+        stream
+    }
+
+    /// Tells whether the connection had been used for another request before.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     fn release(&mut self) {
         let Some(checkout) = self.checkout.take() else {
             return;
         };
         if checkout.is_reusable {
-            checkout.pool.return_idle(checkout.sender);
+            checkout.pool.return_idle(checkout.line);
         }
         drop(checkout.permit);
     }
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -15,6 +15,7 @@
         },
         registry::Endpoint, //
     },
+    edge::fields::Fields,
     kernel::{
         http::{
             full,
@@ -25,7 +26,9 @@
         pool::{
             self,
             Config,
-            Error, //
+            Error,
+            Reuse,
+            Terms, //
         },
         runtime::timeout,
     },
@@ -40,7 +43,6 @@
     body::{
         Body as HttpBody,
         Frame,
-        Incoming,
         SizeHint, //
     },
     header::{
@@ -65,6 +67,7 @@
         Instant, //
     },
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Settings of the connection pools to endpoints, which close idle connections after about
 /// ten seconds.
@@ -174,19 +177,21 @@
         (false, false) => MAX_IDLE_NON_IDEMPOTENT,
         (false, true) => MAX_IDLE_UNRELIABLE,
     };
-    let id_field = state.fields.request_id.clone();
-    let id = call.id.clone();
-    let is_matching =
-        move |response: &Response<Incoming>| response.headers().get(&id_field) == Some(&id);
-    let result = pool
-        .exchange(
-            permit,
-            request,
-            remaining(call.deadline),
-            max_idle,
-            &is_matching,
-        )
-        .await;
+    let (fields, id) = (&state.fields, call.id);
+    let terms = Terms {
+        identity: xxh3_64(id.as_bytes()),
+        span: remaining(call.deadline),
+        max_idle_time: max_idle,
+        check: &|response| match (
+            is_matching(fields, id, response),
+            is_rejection(fields, response),
+        ) {
+            (true, false) => Reuse::Any,
+            (true, true) => Reuse::Others,
+            (false, _) => Reuse::Never,
+        },
+    };
+    let result = pool.exchange(permit, request, &terms).await;
     let response = match result {
         Ok(response) => response,
         Err(rejected) => {
@@ -209,6 +214,17 @@
     validate(state, call, endpoint, response).await
 }
 
+/// Returns whether a response names the request.
+fn is_matching<B>(fields: &Fields, id: &HeaderValue, response: &Response<B>) -> bool {
+    response.headers().get(&fields.request_id) == Some(id)
+}
+
+/// Returns whether a response says that the endpoint did not run the request.
+fn is_rejection<B>(fields: &Fields, response: &Response<B>) -> bool {
+    response.status() == StatusCode::MISDIRECTED_REQUEST
+        || response.headers().contains_key(&fields.not_run)
+}
+
 async fn validate(
     state: &Arc<State>,
     call: &Call<'_>,
@@ -217,24 +233,27 @@
 ) -> Completion {
     let fields = &state.fields;
     let headers = response.headers();
-    let is_matching = headers.get(&fields.request_id) == Some(call.id);
+    let status = response.status();
+    let is_matching = is_matching(fields, call.id, &response);
+    let is_rejection = is_rejection(fields, &response);
+    // An endpoint may repeat an earlier response of the same connection, but there is none before
+    // the first one.
+    let is_anonymous = !headers.contains_key(&fields.request_id);
+    let is_first_rejection = is_rejection && is_anonymous && !response.body().is_reused();
+    if !is_matching && !is_first_rejection {
+        // This is the response to another request; whether this one ran is unknown.
+        state.mark_connections_unreliable(call.service);
+        return Completion::Broken("foreign_answer");
+    }
     if is_matching {
         record_rate_limit(state, endpoint, &response);
     }
-    let status = response.status();
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Completion::NotHolder;
     }
-    if headers.contains_key(&fields.not_run)
-        && (is_matching || !headers.contains_key(&fields.request_id))
-    {
+    if is_rejection {
         return Completion::Shed;
     }
-    if !is_matching {
-        // This is the response to another request; whether this one ran is unknown.
-        state.mark_connections_unreliable(call.service);
-        return Completion::Broken("foreign_answer");
-    }
     let is_signed = headers.contains_key(&fields.signature);
     if headers.contains_key(CONTENT_ENCODING) || (status.is_success() && !is_signed) {
         return Completion::Broken("not_its_answer");
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -1,5 +1,7 @@
 //! Tests of the router process against a fake platform.
 
+mod faulty_answers;
+mod faulty_endpoint;
 mod stand_in;
 
 use async_io::block_on;
@@ -203,11 +205,24 @@
     ) -> (String, StatusCode, Bytes) {
         self.requests += 1;
         let id = format!("request-{}", self.requests);
+        let (status, body) = self.send_as(&id, vm, method, path, key);
+        (id, status, body)
+    }
+
+    /// Sends a request under an identity and returns its status and body.
+    fn send_as(
+        &self,
+        id: &str,
+        vm: usize,
+        method: Method,
+        path: &str,
+        key: Option<u16>,
+    ) -> (StatusCode, Bytes) {
         let mut request = Request::builder()
             .method(method)
             .uri(path)
             .header("host", "host")
-            .header("x-id", &id)
+            .header("x-id", id)
             .header("x-deadline", "3000");
         if let Some(key) = key {
             request = request.header("x-key", key.to_string());
@@ -219,7 +234,7 @@
             let response = response.expect("a running router responds");
             let status = response.status();
             let body = response.into_body().collect().await.unwrap().to_bytes();
-            (id, status, body)
+            (status, body)
         };
         block_on(exchange)
     }
--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -598,7 +598,7 @@
 const PORT: u16 = 7_001;
 
 /// Returns a loopback address that nothing else in this process uses.
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
     let (high, low) = (number / 250, number % 250 + 1);
