Do not use registration records that requests cannot be addressed to

Cause: the name of an entry is the endpoint's id and goes into a header field of the planner's calls, which ended in `.expect("endpoint ids are valid header values")`. An entry of another writer under a name with byte 0x01 so ended the process of each VM that came to plan the service.

All `expect`, `unwrap` and duration arithmetic that values from outside can reach were read; no other was found.

Change: a mirror keeps a record as unreadable if its id is not visible ASCII, if its port is 0, or if its texts do not fit into a datagram, whether it came from the store or from another VM. Such objects are logged.

--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -107,11 +107,22 @@
         Member(Arc<Member>),
         /// Ownership table of a service.
         Table(Arc<Table>),
-        /// Content that could not be decoded.
+        /// Content that could not be decoded, or that cannot be used.
         Unreadable,
     }
 }
 
+impl Value {
+    /// Returns whether the content can be used; another writer may have made it.
+    pub fn is_usable(&self) -> bool {
+        match self {
+            Self::Unreadable => false,
+            Self::Endpoint(endpoint) => endpoint.is_addressable(),
+            Self::Manifest(_) | Self::Member(_) | Self::Table(_) => true,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     object: Object,
@@ -140,6 +151,13 @@
     /// Stores an object if it is newer than the known version; returns whether it was.
     pub fn merge(&mut self, mut object: Object) -> bool {
         self.era = self.era.max(revision::era(object.revision));
+        if object
+            .value
+            .as_ref()
+            .is_some_and(|value| !value.is_usable())
+        {
+            object.value = Some(Value::Unreadable);
+        }
         let position = self.position(object.kind, &object.name);
         if let Ok(index) = position {
             let known = &self.entries[index].object;
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 
+/// Maximum length of the texts of a record, in bytes; several fit into a datagram.
+const MAX_TEXT_BYTES: usize = 256;
+
 record! {
     /// Registration record of an endpoint, written by the endpoint itself.
     pub struct Endpoint {
@@ -39,3 +42,15 @@
         pub cpu_millis: u32,
     }
 }
+
+impl Endpoint {
+    /// Returns whether requests can be addressed to the endpoint.
+    ///
+    /// Requests name it in a header field, which can hold visible ASCII characters only, and
+    /// datagrams hold the whole record.
+    pub fn is_addressable(&self) -> bool {
+        let is_id = !self.id.is_empty() && self.id.bytes().all(|byte| byte.is_ascii_graphic());
+        let mut texts = [&self.id, &self.service, &self.zone].into_iter();
+        is_id && self.address.port() != 0 && texts.all(|text| text.len() <= MAX_TEXT_BYTES)
+    }
+}
--- a/src/router/sync.rs
+++ b/src/router/sync.rs
@@ -14,6 +14,7 @@
     core::{
         mirror::{
             Kind,
+            Object,
             KINDS, //
         },
         registry::Member,
@@ -109,6 +110,9 @@
 /// How long a member must be unavailable before its entry is removed.
 pub const MEMBER_REMOVAL_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Number of characters of an unusable object's name that are logged.
+const MAX_LOGGED_NAME: usize = 64;
+
 /// Starts the tasks that keep the mirror up to date.
 pub fn spawn(state: &Arc<State>) {
     for kind in KINDS {
@@ -244,6 +248,7 @@
 async fn list_objects(state: &Arc<State>, kind: Kind, has_removals: bool) -> Result<u64, Error> {
     let store = state.store();
     let page = store.list(kind, Freshness::Fresh).await?;
+    log_unusable(&page.objects);
     let as_of = page.as_of;
     let is_settling = settling_end(state).is_some_and(|end| clock::now() < end);
     let may_remove = has_removals && !is_settling && kind != Kind::Table;
@@ -254,6 +259,21 @@
     Ok(as_of)
 }
 
+/// Logs the objects that another writer has made or damaged.
+fn log_unusable(objects: &[Object]) {
+    let is_unusable = |object: &&Object| {
+        object
+            .value
+            .as_ref()
+            .is_some_and(|value| !value.is_usable())
+    };
+    for object in objects.iter().filter(is_unusable) {
+        let (kind, revision) = (object.kind.name(), object.revision);
+        let name: String = object.name.chars().take(MAX_LOGGED_NAME).collect();
+        log::warn!("event=object_unusable kind={kind} name={name:?} revision={revision}");
+    }
+}
+
 async fn watch_changes(
     state: &Arc<State>,
     kind: Kind,
@@ -263,6 +283,7 @@
 ) -> Result<u64, Error> {
     let store = state.store();
     let page: Page = store.watch(kind, after, wait).await?;
+    log_unusable(&page.objects);
     state.merge(|mirror| {
         let mut is_changed = false;
         for object in page.objects {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -16,6 +16,7 @@
 mod plan;
 mod rate_limit;
 mod rebalance;
+mod registry;
 mod request_path;
 mod router;
 mod support;
