Break off responses that do not end by the deadline

Cause: the deadline held for the first 256 KiB of a response, which are buffered; the rest was streamed without a time limit.

Ruled out: a timer in the streamed body alone. The HTTP server does not ask for more of a body while the caller does not read, so the endpoint's connection stayed in use.

Change: a task reads the endpoint's body and passes it on; at the deadline it closes the connection to the endpoint and the caller's response is broken off. Dropping the body, as when a caller disconnects, cancels the task as before.

Evidence: `router::faulty_answers::response_without_an_end_is_broken_off_at_the_deadline` failed before ("the response lasted 7.002229881s"; the limit is 3 s and the endpoint stops after 7 s); it also checks a caller that does not read.

--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -32,7 +32,10 @@
         },
         runtime::timeout,
     },
-    router::state::State,
+    router::{
+        forwarded_body,
+        state::State, //
+    },
 };
 use bytes::{
     Bytes,
@@ -258,7 +261,7 @@
     if headers.contains_key(CONTENT_ENCODING) || (status.is_success() && !is_signed) {
         return Completion::Broken("not_its_answer");
     }
-    read_body(call, response).await
+    read_body(state, call, endpoint, response).await
 }
 
 /// Records the rate limit that an endpoint names in its response, or that it names none.
@@ -290,7 +293,12 @@
 }
 
 /// Reads the response body, completely if it is short.
-async fn read_body(call: &Call<'_>, response: Response<pool::Stream>) -> Completion {
+async fn read_body(
+    state: &State,
+    call: &Call<'_>,
+    endpoint: &Endpoint,
+    response: Response<pool::Stream>,
+) -> Completion {
     let (mut parts, mut body) = response.into_parts();
     remove_hop_by_hop_fields(&mut parts.headers);
     let mut buffer = BytesMut::new();
@@ -305,16 +313,25 @@
             buffer.extend_from_slice(&data);
         }
         if buffer.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            let body = Prefixed {
-                prefix: Some(buffer.freeze()),
-                rest: body.map_err(Into::into).boxed_unsync(),
-            };
-            return Completion::Answered(Response::from_parts(parts, body.boxed_unsync()));
+            let on_error = log_cut(call, endpoint);
+            let prefix = buffer.freeze();
+            let body = forwarded_body::spawn(&state.context, prefix, body, call.deadline, on_error);
+            return Completion::Answered(Response::from_parts(parts, body));
         }
     }
     Completion::Answered(Response::from_parts(parts, full(buffer.freeze())))
 }
 
+/// Returns a function that logs why a response was broken off after its head was forwarded.
+fn log_cut(call: &Call<'_>, endpoint: &Endpoint) -> impl FnOnce(forwarded_body::Error) {
+    let id = call.id.to_str().unwrap_or("unreadable").to_owned();
+    let endpoint = endpoint.id.clone();
+    move |error| {
+        metrics::counter!("rhubarbpick_responses_cut_total").increment(1);
+        log::info!("event=response_cut id={id} endpoint={endpoint} why=\"{error}\"");
+    }
+}
+
 fn build_request(
     state: &State,
     call: &Call<'_>,
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -13,6 +13,7 @@
 pub mod datagram;
 pub mod dispatcher;
 pub mod error_response;
+pub mod forwarded_body;
 pub mod membership;
 pub mod peer;
 pub mod permit_client;
--- a/tests/suite/router/faulty_answers.rs
+++ b/tests/suite/router/faulty_answers.rs
@@ -3,6 +3,7 @@
 use super::{
     faulty_endpoint::{
         self,
+        chunked_head,
         rejection,
         Exchange,
         Runs, //
@@ -16,12 +17,20 @@
 };
 use rhubarbpick::core::mirror::Kind;
 use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net::TcpStream,
     sync::{
         Arc,
         Mutex, //
     },
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 /// Time limit for a change of the endpoints to be known.
@@ -54,6 +63,28 @@
     (system, runs)
 }
 
+/// Time by which a request has to end, counted from its sending: the route's limit and the half
+/// second that the platform's users allow.
+const MAX_REQUEST_TIME: Duration = Duration::from_millis(3_500);
+
+/// Sends a request over a plain socket, which the test reads.
+fn open_request(system: &System, path: &str, id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(system.caller_address(0)).unwrap();
+    let head =
+        format!("GET {path} HTTP/1.1\r\nhost: host\r\nx-id: {id}\r\nx-deadline: 9000\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    stream
+}
+
+/// Reads until the connection ends; returns what was read.
+fn read_to_end(stream: &mut TcpStream) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    stream.set_read_timeout(Some(MAX_REQUEST_TIME * 2)).unwrap();
+    // A reset is an end too.
+    let _ = stream.read_to_end(&mut bytes);
+    bytes
+}
+
 /// Statuses that promise callers that their requests have not run.
 const NOT_RUN: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
@@ -161,3 +192,43 @@
     });
     assert_bids_run_once(&system, &runs, 6);
 }
+
+#[test]
+fn response_without_an_end_is_broken_off_at_the_deadline() {
+    // Guards against bodies that were forwarded past every time limit, also to a caller that does
+    // not read.
+    let broken_off = Arc::new(Mutex::new(Vec::new()));
+    let ends = Arc::clone(&broken_off);
+    let (system, _) = start("endless-body", 1, move |exchange| {
+        let began = Instant::now();
+        let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
+        let mut is_open = exchange.write(chunked_head(exchange.endpoint, exchange.id));
+        while is_open && began.elapsed() < MAX_REQUEST_TIME * 2 {
+            is_open = exchange.write(&chunk);
+            thread::sleep(Duration::from_millis(5));
+        }
+        ends.lock().unwrap().push(began.elapsed());
+        false
+    });
+    let _unread = open_request(&system, "/read/x", "unread");
+    let began = Instant::now();
+    let bytes = read_to_end(&mut open_request(&system, "/read/x", "read"));
+    let elapsed = began.elapsed();
+    assert!(
+        elapsed <= MAX_REQUEST_TIME,
+        "the response lasted {elapsed:?}"
+    );
+    assert!(bytes.starts_with(b"HTTP/1.1 200 "));
+    assert!(
+        !bytes.ends_with(b"0\r\n\r\n"),
+        "the response looks complete"
+    );
+    let are_ended = || broken_off.lock().unwrap().len() == 2;
+    assert!(wait_until(MAX_REQUEST_TIME * 2, are_ended));
+    for elapsed in broken_off.lock().unwrap().iter() {
+        assert!(
+            *elapsed <= MAX_REQUEST_TIME,
+            "the endpoint sent for {elapsed:?}"
+        );
+    }
+}
--- a/tests/suite/router/faulty_endpoint.rs
+++ b/tests/suite/router/faulty_endpoint.rs
@@ -88,6 +88,14 @@
     )
 }
 
+/// Returns the head of such a response whose body comes in chunks.
+pub fn chunked_head(endpoint: &str, id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: {endpoint}\r\ntransfer-encoding: chunked\r\n\
+         \r\n"
+    )
+}
+
 /// Starts an endpoint and registers it in the store.
 ///
 /// `respond` handles a request and returns whether the connection stays open.
