Bound what peers can send without progress, and let other tasks run meanwhile

Cause: the HTTP library skips informational responses for as long as the socket has bytes. A process has one worker thread, so its other tasks did not run, timers included.

Ruled out: a time limit at the request (it was there and could not fire), and more worker threads (one such response each would stop them too).

Change: the streams under all HTTP connections let other tasks run after 64 KiB in a row. Those of clients fail after 256 KiB without a head or a piece of a body, and a head has 64 KiB at most. Same cause elsewhere: zeros before and spaces after a chunk's size, in responses and in callers' requests, and the connections that carry grants.

--- a/src/kernel/connection.rs
+++ b/src/kernel/connection.rs
@@ -5,6 +5,11 @@
 //! server restarted.
 
 use crate::kernel::{
+    fair_stream::{
+        self,
+        Meter,
+        MAX_BUFFER_BYTES, //
+    },
     http::Body,
     runtime::{
         timeout,
@@ -61,6 +66,7 @@
 /// An open connection.
 pub struct Connection {
     sender: Mutex<SendRequest<Body>>,
+    meter: Meter,
     is_closed: Arc<AtomicBool>,
     is_closing: AtomicBool,
 }
@@ -83,7 +89,10 @@
         .set_nodelay(true)
         .and_then(|()| tcp::reset_on_close(&stream));
     prepared.map_err(|_| Error::Unreachable)?;
-    let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+    let (stream, meter) = fair_stream::client(stream);
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(FuturesIo::new(stream))
         .await
         .map_err(|_| Error::Unreachable)?;
     let is_closed = Arc::new(AtomicBool::new(false));
@@ -95,6 +104,7 @@
     });
     Ok(Connection {
         sender: Mutex::new(sender),
+        meter,
         is_closed,
         is_closing: AtomicBool::new(false),
     })
@@ -126,6 +136,7 @@
             if sender.ready().await.is_err() {
                 return Err(Error::Ended);
             }
+            self.meter.reset();
             let response = sender.try_send_request(request).await;
             let response = response.map_err(|mut failure| match failure.take_message() {
                 Some(_) => Error::Ended,
--- a/src/kernel/http.rs
+++ b/src/kernel/http.rs
@@ -6,6 +6,7 @@
 
 use crate::kernel::{
     error::Error,
+    fair_stream,
     runtime::{
         sleep,
         Context, //
@@ -221,7 +222,7 @@
         let connection = http2::Builder::new(executor)
             .timer(SmolTimer::new())
             .max_header_list_size(server.limits.head_bytes as u32)
-            .serve_connection(FuturesIo::new(stream), service);
+            .serve_connection(FuturesIo::new(fair_stream::server(stream)), service);
         let mut connection = pin!(connection);
         let ended = future::or(async { connection.as_mut().await.is_ok() }, async {
             shutdown.await;
@@ -240,7 +241,7 @@
         .max_buf_size(server.limits.head_bytes)
         .max_headers(server.limits.head_fields)
         .half_close(false)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(fair_stream::server(stream)), service);
     let mut connection = pin!(connection);
     let ended = future::or(
         async {
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod connection;
 pub mod error;
+pub mod fair_stream;
 pub mod http;
 pub mod plugin;
 pub mod pool;
--- a/src/kernel/pool.rs
+++ b/src/kernel/pool.rs
@@ -9,6 +9,11 @@
 //! request may have reached the server.
 
 use crate::kernel::{
+    fair_stream::{
+        self,
+        Meter,
+        MAX_BUFFER_BYTES, //
+    },
     http::{
         Body,
         BodyError, //
@@ -258,6 +263,7 @@
 /// An open connection.
 struct Line {
     sender: SendRequest<Body>,
+    meter: Meter,
     /// Identities of the requests for which it must not be used.
     excluded: Vec<u64>,
 }
@@ -345,6 +351,7 @@
                 Ok(connection) => connection,
                 Err(failure) => return Err(Failure::unsent(failure, request)),
             };
+            line.meter.reset();
             let sent = timeout(left(deadline), line.sender.try_send_request(request)).await;
             match sent {
                 None => return Err(Failure::sent(Error::Late, is_reused)),
@@ -389,9 +396,8 @@
             }
         }
         let connected = timeout(span.min(self.config.connect_timeout), self.connect()).await;
-        let sender = connected.unwrap_or(Err(Error::Unreachable))?;
-        let excluded = Vec::new();
-        Ok((Line { sender, excluded }, false))
+        let line = connected.unwrap_or(Err(Error::Unreachable))?;
+        Ok((line, false))
     }
 
     /// Takes the most recently used of the idle connections that `terms` allow.
@@ -424,7 +430,7 @@
         });
     }
 
-    async fn connect(&self) -> Result<SendRequest<Body>, Error> {
+    async fn connect(&self) -> Result<Line, Error> {
         let stream = tcp::open(self.context.source_address(), self.address)
             .await
             .map_err(|error| match error.kind() {
@@ -435,13 +441,20 @@
         if let Some(ack_timeout) = self.config.ack_timeout {
             tcp::set_user_timeout(&stream, ack_timeout).map_err(|_| Error::Unreachable)?;
         }
-        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+        let (stream, meter) = fair_stream::client(stream);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(FuturesIo::new(stream))
             .await
             .map_err(|_| Error::Unreachable)?;
         self.context.detach(async move {
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(Line {
+            sender,
+            meter,
+            excluded: Vec::new(),
+        })
     }
 }
 
@@ -485,14 +498,18 @@
 /// Body of a response; returns its connection to the pool when read to the end.
 pub struct Stream {
     body: Incoming,
+    meter: Meter,
     checkout: Option<Box<Checkout>>,
     is_reused: bool,
 }
 
 impl Stream {
     fn new(body: Incoming, checkout: Checkout, is_reused: bool) -> Self {
+        let meter = checkout.line.meter.clone();
+        meter.reset();
         let mut stream = Self {
             body,
+            meter,
             checkout: Some(Box::new(checkout)),
             is_reused,
         };
@@ -538,6 +555,7 @@
                 Poll::Ready(Some(Err(error.into())))
             }
             Poll::Ready(Some(Ok(frame))) => {
+                self.meter.reset();
                 if self.body.is_end_stream() {
                     self.release();
                 }
