Log the requests that fail before they are routed

The users' record of requests that were refused and had run shows no line of their VM that names the request. Refusals before routing (no configuration, a body that came too late) were counted but not logged, so they could not be told from lost lines. event=request_unrouted names the request, the status and the reason. No test of its own.

--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -123,7 +123,13 @@
         state: Arc::clone(&state),
         is_answered: false,
     };
-    let mut response = match process(&state, request, began, request_number).await {
+    let id = request.headers().get(&state.fields.request_id).cloned();
+    let mut is_routed = false;
+    let result = process(&state, request, began, request_number, &mut is_routed).await;
+    if let (Err(error), false) = (&result, is_routed) {
+        log_unrouted(id.as_ref(), error);
+    }
+    let mut response = match result {
         Ok(response) => {
             state.counters.answered.fetch_add(1, Ordering::Relaxed);
             response
@@ -169,6 +175,7 @@
     request: Request<Incoming>,
     began: Instant,
     request_number: u64,
+    is_routed: &mut bool,
 ) -> Result<Response<Body>, Error> {
     let (mut parts, body) = request.into_parts();
     state.wait_until_ready().await;
@@ -210,6 +217,7 @@
         deadline,
         caller_deadline: began + Duration::from_millis(deadline_ms),
     };
+    *is_routed = true;
     let result = execute(state, &routing, &parts, payload).await;
     log_result(state, &routing, &result, began, request_number);
     result.1
@@ -625,6 +633,16 @@
     }
 }
 
+/// Logs the failure of a request that was not matched to a service or not read to its end.
+fn log_unrouted(id: Option<&HeaderValue>, error: &Error) {
+    log::info!(
+        "event=request_unrouted id={} status={} reason={}",
+        id.and_then(|id| id.to_str().ok()).unwrap_or("unreadable"),
+        error.status().as_u16(),
+        error.name()
+    );
+}
+
 /// Logs all failures and a sample of the successes.
 fn log_result(
     state: &State,
