Forward statuses that promise "not run" only with the endpoint's proof

Callers saw (the users' own runs): bids that were answered with a promise not to have run, and had run.

Cause, one of two that were found: a 408, 429 or 503 of an endpoint without Not-Executed was forwarded like any failure, though only that header says that the request did not run.

Ruled out by reading: requests that the HTTP client hands back as not sent; refusals before routing.

Change: such a response counts as broken: another try if the request may run twice, else 502.

Evidence: `status_that_promises_not_run_is_not_forwarded_without_a_proof` failed before ("bid-0 ran and got 408 Request Timeout").

--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -91,6 +91,14 @@
 /// How long idle connections of a service are regarded as unreliable after one of them failed.
 pub const UNRELIABLE_PERIOD: Duration = Duration::from_secs(10);
 
+/// Statuses that promise callers that their requests did not run.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Responses up to this length are buffered completely before they are forwarded.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 * 1024;
 
@@ -257,6 +265,10 @@
     if is_rejection {
         return Completion::Shed;
     }
+    if NOT_RUN_STATUSES.contains(&status) {
+        // To the caller the status would promise that the request did not run.
+        return Completion::Broken("unproven_rejection");
+    }
     let is_signed = headers.contains_key(&fields.signature);
     if headers.contains_key(CONTENT_ENCODING) || (status.is_success() && !is_signed) {
         return Completion::Broken("not_its_answer");
--- a/tests/suite/router/faulty_answers.rs
+++ b/tests/suite/router/faulty_answers.rs
@@ -232,3 +232,20 @@
         );
     }
 }
+
+#[test]
+fn status_that_promises_not_run_is_not_forwarded_without_a_proof() {
+    // Guards against an endpoint that runs a request and responds with a status by which callers
+    // are promised that it did not run.
+    for status in [408, 429, 503] {
+        let (system, runs) = start(&format!("unproven-{status}"), 2, move |exchange| {
+            exchange.run();
+            exchange.write(format!(
+                "HTTP/1.1 {status} Status\r\nx-id: {}\r\nx-signature: {}\r\ncontent-length: 0\r\n\
+                 \r\n",
+                exchange.id, exchange.endpoint
+            ))
+        });
+        assert_bids_run_once(&system, &runs, 3);
+    }
+}
