--- a/tests/suite/router/faulty_answers.rs
+++ b/tests/suite/router/faulty_answers.rs
@@ -23,6 +23,10 @@
     },
     net::TcpStream,
     sync::{
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
         Arc,
         Mutex, //
     },
@@ -249,3 +253,78 @@
         assert_bids_run_once(&system, &runs, 3);
     }
 }
+
+/// How the body of a response is delimited.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunks,
+    /// By the end of the connection, unless that is a reset.
+    Connection,
+}
+
+/// Returns a complete response and the length of its head.
+fn framed_response(framing: Framing, endpoint: &str, id: &str) -> (String, usize) {
+    let body = format!("answer to {id}");
+    let fields = format!("x-id: {id}\r\nx-signature: {endpoint}\r\n");
+    let (field, body) = match framing {
+        Framing::Length => (format!("content-length: {}\r\n", body.len()), body),
+        Framing::Chunks => {
+            let chunks = format!(
+                "4\r\nansw\r\n{:x}\r\n{}\r\n0\r\n\r\n",
+                body.len() - 4,
+                &body[4..]
+            );
+            ("transfer-encoding: chunked\r\n".into(), chunks)
+        }
+        Framing::Connection => ("connection: close\r\n".into(), body),
+    };
+    let head = format!("HTTP/1.1 200 OK\r\n{fields}{field}\r\n");
+    let length = head.len();
+    (head + &body, length)
+}
+
+#[test]
+fn response_that_is_cut_at_any_byte_is_not_forwarded_as_complete() {
+    // Guards against a success with an empty or short body, framed as whole.
+    for framing in [Framing::Length, Framing::Chunks, Framing::Connection] {
+        for is_reset in [false, true] {
+            let name = format!("cut-{framing:?}-{is_reset}").to_lowercase();
+            let cuts = Arc::new(AtomicUsize::new(0));
+            let count = Arc::clone(&cuts);
+            let seen = Arc::new(Mutex::new(Vec::<Box<str>>::new()));
+            // Cuts the response to the first try of a request after as many bytes as its path says.
+            let (system, _) = start(&name, 2, move |exchange| {
+                let mut seen = seen.lock().unwrap();
+                let is_first = !seen.iter().any(|id| **id == *exchange.id);
+                seen.push(exchange.id.into());
+                drop(seen);
+                let (response, head) = framed_response(framing, exchange.endpoint, exchange.id);
+                let cut: usize = exchange.id.rsplit('-').next().unwrap().parse().unwrap();
+                // Without a reset, the end of the connection is the end of the body.
+                let is_complete =
+                    matches!(framing, Framing::Connection) && !is_reset && cut >= head;
+                if is_first && cut < response.len() && !is_complete {
+                    count.fetch_add(1, Ordering::SeqCst);
+                    if is_reset {
+                        exchange.reset_on_close();
+                    }
+                    exchange.write(&response[..cut]);
+                    return false;
+                }
+                exchange.write(&response) && !matches!(framing, Framing::Connection)
+            });
+            // Longer than each of the responses; the last ones are not cut.
+            for cut in 0..180 {
+                let id = format!("{name}-{cut}");
+                let (status, body) = system.send_as(&id, 0, Method::GET, "/read/x", None);
+                if status.is_success() {
+                    assert_eq!(body, format!("answer to {id}"), "cut after {cut} bytes");
+                }
+                system.send_as("whole-999", 0, Method::GET, "/read/x", None);
+            }
+            let cuts = cuts.load(Ordering::SeqCst);
+            assert!(cuts > 90, "{name}: only {cuts} responses were cut");
+        }
+    }
+}
--- a/tests/suite/router/faulty_endpoint.rs
+++ b/tests/suite/router/faulty_endpoint.rs
@@ -13,6 +13,7 @@
     },
     registry::Endpoint,
 };
+use rustix::net::sockopt::set_socket_linger;
 use std::{
     io::{
         Read,
@@ -56,6 +57,11 @@
         self.stream.write_all(bytes.as_ref()).is_ok()
     }
 
+    /// Resets the connection when it is closed, so that what was written may be lost.
+    pub fn reset_on_close(&self) {
+        set_socket_linger(&*self.stream, Some(Duration::ZERO)).unwrap();
+    }
+
     /// Runs the request and responds to it.
     pub fn serve(&mut self) -> bool {
         self.run();
