Install the signal handlers before anything else

SIGHUP ended a starting process in the same way.

Cause: the handlers were installed after the settings had been read and all parts been started. Ruled out: a panic or an error exit (the log would have a line). Not known: why that start took so long.

Change: both processes install the handlers first; a signal during the start is acted upon once the process runs.

Evidence: `signals::*` failed before (ended by signal 15 and signal 1).

--- a/src/ops/router.rs
+++ b/src/ops/router.rs
@@ -12,7 +12,11 @@
         },
         runtime::Context, //
     },
-    ops::signal,
+    ops::signal::{
+        self,
+        Hangups,
+        Termination, //
+    },
     router::{
         self,
         settings::Settings, //
@@ -22,6 +26,7 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use std::{
     env,
+    io,
     process::ExitCode, //
 };
 
@@ -67,6 +72,10 @@
         eprintln!("rhubarbpick-platform: no settings file; set {variable} or pass --settings FILE");
         return ExitCode::from(EXIT_ERROR);
     };
+    let signals = match Signals::install() {
+        Ok(signals) => signals,
+        Err(error) => return fail(&error),
+    };
     let settings = match load(&path) {
         Ok(settings) => settings,
         Err(error) => return fail(&error),
@@ -75,7 +84,7 @@
         println!("the settings are valid");
         return ExitCode::SUCCESS;
     }
-    match serve(settings, &path, load) {
+    match serve(settings, &path, load, signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error),
     }
@@ -86,14 +95,30 @@
     ExitCode::from(EXIT_ERROR)
 }
 
-fn serve(settings: Settings, path: &str, load: Loader) -> Result<(), Error> {
+/// Signals to the process, from its start on.
+struct Signals {
+    termination: Termination,
+    hangups: Hangups,
+}
+
+impl Signals {
+    fn install() -> io::Result<Self> {
+        Ok(Self {
+            termination: signal::termination()?,
+            hangups: signal::hangups()?,
+        })
+    }
+}
+
+fn serve(settings: Settings, path: &str, load: Loader, signals: Signals) -> Result<(), Error> {
     let _log = async_log::init(&settings.log_level)?;
     let metrics = PrometheusBuilder::new().install_recorder().ok();
     let context = Context::spawn(WORKER_THREADS);
     let router = router::spawn(&context, settings, metrics)?;
-    context.detach(router::reload::run(router.state.clone(), path.into(), load));
+    let reload = router::reload::run(router.state.clone(), path.into(), load, signals.hangups);
+    context.detach(reload);
     async_io::block_on(async {
-        if let Err(error) = signal::wait_for_termination().await {
+        if let Err(error) = signals.termination.wait().await {
             ::log::error!("event=signal_lost why=\"{error}\"");
         }
         router.drain().await;
--- a/src/ops/serve.rs
+++ b/src/ops/serve.rs
@@ -14,7 +14,10 @@
         },
         stderr_log,
     },
-    ops::signal,
+    ops::signal::{
+        self,
+        Termination, //
+    },
 };
 use getopts::Options;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -49,6 +52,10 @@
         eprintln!("rhubarbpickd: option --settings is missing; try --help");
         return ExitCode::from(EXIT_ERROR);
     };
+    let termination = match signal::termination() {
+        Ok(termination) => termination,
+        Err(error) => return fail(&error),
+    };
     let settings = match settings::read(&path) {
         Ok(settings) => settings,
         Err(error) => return fail(&error),
@@ -56,7 +63,7 @@
     if matches.opt_present("check") {
         return check(&settings);
     }
-    match serve(settings) {
+    match serve(settings, termination) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error),
     }
@@ -79,13 +86,13 @@
     }
 }
 
-fn serve(settings: Settings) -> Result<(), Error> {
+fn serve(settings: Settings, termination: Termination) -> Result<(), Error> {
     let _log = stderr_log::init(&settings.log)?;
     let metrics = PrometheusBuilder::new().install_recorder().ok();
     let context = Context::spawn(settings.threads);
     let daemon = daemon::spawn(&context, settings, metrics)?;
     async_io::block_on(async {
-        if let Err(error) = signal::wait_for_termination().await {
+        if let Err(error) = termination.wait().await {
             ::log::error!("event=signal_lost why=\"{error}\"");
         }
         daemon.drain().await;
--- a/src/ops/signal.rs
+++ b/src/ops/signal.rs
@@ -18,14 +18,34 @@
     os::unix::net::UnixStream, //
 };
 
-/// Waits for SIGTERM or SIGINT.
-pub async fn wait_for_termination() -> io::Result<()> {
+/// SIGTERM and SIGINT, from the installation of their handler on.
+pub struct Termination {
+    receiver: Async<UnixStream>,
+}
+
+/// Installs the handler for SIGTERM and SIGINT.
+///
+/// A process installs it before anything else, as a signal would end it without a shutdown
+/// until then.
+pub fn termination() -> io::Result<Termination> {
     let (receiver, sender) = UnixStream::pair()?;
     pipe::register(SIGTERM, sender.try_clone()?)?;
     pipe::register(SIGINT, sender)?;
-    let mut receiver = Async::new(receiver)?;
-    let mut byte = [0];
-    receiver.read_exact(&mut byte).await
+    let receiver = Async::new(receiver)?;
+    Ok(Termination { receiver })
+}
+
+impl Termination {
+    /// Waits for one of the signals.
+    pub async fn wait(mut self) -> io::Result<()> {
+        let mut byte = [0];
+        self.receiver.read_exact(&mut byte).await
+    }
+}
+
+/// Installs the handler for SIGTERM and SIGINT and waits for one of them.
+pub async fn wait_for_termination() -> io::Result<()> {
+    termination()?.wait().await
 }
 
 /// Stream of SIGHUP signals.
--- a/src/router/reload.rs
+++ b/src/router/reload.rs
@@ -5,16 +5,10 @@
 //! a reload, but need a restart.
 
 use crate::{
-    kernel::{
-        plugin,
-        runtime::{
-            sleep,
-            timeout, //
-        },
-    },
+    kernel::{plugin, runtime::timeout},
     ops::{
         router::Loader,
-        signal, //
+        signal::Hangups, //
     },
     router::state::State,
 };
@@ -26,28 +20,11 @@
 /// Interval at which the file is read without a signal.
 const READ_INTERVAL: Duration = Duration::from_millis(3_000);
 
-/// Like [`READ_INTERVAL`], if the signal handler could not be installed.
-const FALLBACK_INTERVAL: Duration = Duration::from_millis(3_000);
-
 /// Reloads the settings for as long as the process runs.
-pub async fn run(state: Arc<State>, path: Box<str>, read: Loader) {
+pub async fn run(state: Arc<State>, path: Box<str>, read: Loader, mut hangups: Hangups) {
     let mut current = state.settings.clone();
-    let mut hangups = match signal::hangups() {
-        Ok(hangups) => Some(hangups),
-        Err(error) => {
-            log::error!("event=signal_lost why=\"{error}\"");
-            None
-        }
-    };
     loop {
-        let is_signalled = match &mut hangups {
-            Some(hangups) => timeout(READ_INTERVAL, hangups.wait()).await.is_some(),
-            None => {
-                sleep(FALLBACK_INTERVAL).await;
-                false
-            }
-        };
-        if is_signalled {
+        if timeout(READ_INTERVAL, hangups.wait()).await.is_some() {
             log::info!("event=reload_asked");
         }
         let settings = match read(&path) {
