Hand back the body of a request that cannot be addressed

Cause: `attempt::send` built the whole request, body included, before it knew that the endpoint's id fits into a header field. If not, it handed back an empty body for one that was not buffered, and the next endpoint ran the upload with that.

Ruled out: bodies lost on the other ways on which a request is handed back as not sent; they return the request's own body.

Change: the header fields are built first; the body is handed back as it came.

Evidence: `router::request_that_cannot_be_addressed_keeps_its_body` failed before (left: b"").

--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -49,6 +49,7 @@
         SizeHint, //
     },
     header::{
+        HeaderMap,
         HeaderValue,
         CONTENT_ENCODING, //
     },
@@ -174,9 +175,10 @@
         Payload::Whole(bytes) => Some(bytes.clone()),
         Payload::Stream(_) => None,
     };
-    let Some(request) = build_request(state, call, endpoint, payload) else {
-        return Completion::NotSent("identity", Payload::Whole(buffered.unwrap_or_default()));
+    let Some(headers) = build_headers(state, call, endpoint) else {
+        return Completion::NotSent("identity", payload);
     };
+    let request = build_request(call, headers, payload);
     let pool = state.endpoints.get(endpoint.address);
     let Some(permit) = pool.reserve(remaining(call.deadline)).await else {
         let payload = buffered.map_or_else(|| Payload::Stream(request.into_body()), Payload::Whole);
@@ -344,12 +346,17 @@
     }
 }
 
-fn build_request(
-    state: &State,
-    call: &Call<'_>,
-    endpoint: &Endpoint,
-    payload: Payload,
-) -> Option<Request<Body>> {
+/// Builds the header fields of a request; returns `None` if one cannot hold its value.
+fn build_headers(state: &State, call: &Call<'_>, endpoint: &Endpoint) -> Option<HeaderMap> {
+    let mut headers = call.parts.headers.clone();
+    let deadline = remaining(call.deadline).as_millis() as u64;
+    headers.insert(&state.fields.deadline, HeaderValue::from(deadline));
+    let target = HeaderValue::from_str(&endpoint.id).ok()?;
+    headers.insert(&state.fields.target, target);
+    Some(headers)
+}
+
+fn build_request(call: &Call<'_>, headers: HeaderMap, payload: Payload) -> Request<Body> {
     let body = match payload {
         Payload::Whole(bytes) => full(bytes),
         Payload::Stream(body) => body,
@@ -358,18 +365,8 @@
     *request.method_mut() = call.parts.method.clone();
     *request.uri_mut() = call.parts.uri.clone();
     *request.version_mut() = Version::HTTP_11;
-    *request.headers_mut() = call.parts.headers.clone();
-    let headers = request.headers_mut();
-    let deadline = remaining(call.deadline).as_millis().to_string();
-    headers.insert(
-        &state.fields.deadline,
-        HeaderValue::from_str(&deadline).ok()?,
-    );
-    headers.insert(
-        &state.fields.target,
-        HeaderValue::from_str(&endpoint.id).ok()?,
-    );
-    Some(request)
+    *request.headers_mut() = headers;
+    request
 }
 
 /// Returns the time left until `deadline`.
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -43,6 +43,11 @@
         }, //
     },
     router::{
+        attempt::{
+            self,
+            Completion,
+            Payload, //
+        },
         permit_client,
         wire,
         Router, //
@@ -266,6 +271,33 @@
     }
 }
 
+#[test]
+fn request_that_cannot_be_addressed_keeps_its_body() {
+    // Guards against long uploads that were sent to the next endpoint with an empty body.
+    let system = System::start("unaddressable", 1);
+    let state = &system.routers[0].state;
+    let (parts, ()) = Request::post("/bid/x").body(()).unwrap().into_parts();
+    let call = attempt::Call {
+        parts: &parts,
+        id: &"request-1".parse().unwrap(),
+        repeat: Idempotency::Upload,
+        service: &system.pool[0].endpoint.service,
+        deadline: Instant::now() + Duration::from_secs(1),
+    };
+    let endpoint = Endpoint {
+        id: "i-1\u{1}".into(),
+        ..system.pool[0].endpoint.clone()
+    };
+    let body = Payload::Stream(full("certificate"));
+    let body = match block_on(attempt::send(state, &call, &endpoint, body)) {
+        Completion::NotSent(_, Payload::Stream(body)) => body,
+        Completion::NotSent(_, Payload::Whole(bytes)) => full(bytes),
+        other => panic!("{:?}", other.outcome()),
+    };
+    let bytes = block_on(body.collect()).unwrap().to_bytes();
+    assert_eq!(bytes, "certificate");
+}
+
 #[test]
 fn planner_renews_grants_during_a_flood_of_datagrams() {
     // Guards against a planner that is starved by datagrams. They were once received for as
