Exclude endpoints that misdirect requests for longer each time

Callers saw: while an entry names an endpoint whose address another one has, up to one request in six was refused (`budget`), though other endpoints were free.

Cause: a 421 excluded the endpoint for 60 ms, as a holder of keys whose lease may be renewed at any moment. For an endpoint without keys nothing changes until its record is removed, so it drew a request every 60 ms, and each took one of the service's repeats.

Change: requests without a key exclude it for 60 ms, doubled up to 2 s until it answers.

--- a/src/core/permit/endpoint.rs
+++ b/src/core/permit/endpoint.rs
@@ -76,6 +76,8 @@
 pub struct Permit {
     pub id: Id,
     pub class: u32,
+    /// Whether its request may run only where its key is held.
+    pub is_keyed: bool,
     pub granted_at: Instant,
     pub expires_at: Instant,
 }
@@ -229,6 +231,17 @@
         }
     }
 
+    /// Records that a request without a key came to another endpoint than it was sent to.
+    ///
+    /// Another one may have the address, for as long as the record of this one is there. So it
+    /// is excluded for longer each time until it answers.
+    pub fn record_misdirected(&mut self, now: Instant) {
+        let doublings = self.consecutive_failures.min(6);
+        let duration = (NOT_HOLDER_EXCLUSION * 2_u32.pow(doublings)).min(EXCLUSION_RANGE.1);
+        self.consecutive_failures += 1;
+        self.excluded_until = now.after(duration);
+    }
+
     fn exclude(&mut self, now: Instant) {
         let doublings = self.consecutive_failures.saturating_sub(1).min(4);
         let duration = (EXCLUSION_RANGE.0 * 2_u32.pow(doublings)).min(EXCLUSION_RANGE.1);
--- a/src/core/permit/mod.rs
+++ b/src/core/permit/mod.rs
@@ -989,6 +989,7 @@
         endpoint.permits.push(Permit {
             id: waiter.id,
             class: waiter.request.class,
+            is_keyed: waiter.request.key.is_some(),
             granted_at: now,
             expires_at: waiter.deadline,
         });
@@ -1012,7 +1013,12 @@
                 Outcome::Late => self.classify_late(index, permit.class, took, now),
                 other => other,
             };
-            self.endpoints[index].record_outcome(outcome, now);
+            let endpoint = &mut self.endpoints[index];
+            if outcome == Outcome::NotHolder && !permit.is_keyed {
+                endpoint.record_misdirected(now);
+            } else {
+                endpoint.record_outcome(outcome, now);
+            }
             return;
         }
     }
--- a/tests/suite/permit.rs
+++ b/tests/suite/permit.rs
@@ -722,3 +722,46 @@
     assert!(repeats > 0);
     assert!(repeats <= firsts / 5 + LIMIT.slack, "{repeats} of {firsts}");
 }
+
+/// Sends requests at `INTERVAL` for `span`, of which the first endpoint rejects all as misdirected
+/// and the second one answers all; returns how many each got.
+fn count_beside_misdirected(span: Duration, key: Option<u16>) -> [usize; 2] {
+    const INTERVAL: Duration = Duration::from_millis(20);
+    let start = Instant(1_000_000_000);
+    let endpoints = [endpoint(0, "a"), endpoint(1, "a")];
+    let mut dispatcher = dispatcher(&endpoints, start);
+    let holder = |_: u16| Location::Held("i-00");
+    let mut counts = [0, 0];
+    for number in 0..(span.as_millis() / INTERVAL.as_millis()) as u64 {
+        let now = start.after(INTERVAL * number as u32);
+        let request = Request { key, ..request() };
+        let _ = dispatcher.submit(id(number), request, &holder, now);
+        for assignment in dispatcher.dispatch(&holder, now).assignments {
+            let is_first = *assignment.endpoint == *"i-00";
+            counts[usize::from(!is_first)] += 1;
+            let outcome = match is_first {
+                true => Outcome::NotHolder,
+                false => Outcome::Answered,
+            };
+            dispatcher.complete(assignment.request, outcome, Duration::from_millis(5), now);
+        }
+    }
+    counts
+}
+
+#[test]
+fn endpoint_that_misdirects_requests_gets_few_while_others_are_free() {
+    // Guards against the record of an endpoint whose address another one has: it drew a request
+    // every 60 ms, which used up the repeats of the service.
+    let [misdirected, answered] = count_beside_misdirected(Duration::from_secs(10), None);
+    // Excluded for 60 ms at first, doubled up to 2 s.
+    assert!(misdirected <= 11, "{misdirected} beside {answered}");
+    assert!(answered >= 400, "{answered} beside {misdirected}");
+}
+
+#[test]
+fn holder_of_keys_is_excluded_shortly_after_a_rejection() {
+    // A lease may be renewed at any moment, so its holder is tried again soon.
+    let [rejected, _] = count_beside_misdirected(Duration::from_secs(1), Some(7));
+    assert!(rejected >= 12, "only {rejected} in a second");
+}
