--- a/src/core/permit/endpoint.rs
+++ b/src/core/permit/endpoint.rs
@@ -135,12 +135,16 @@
         }
     }
 
-    /// Returns the expected service time here as a multiple of the class mean.
-    pub fn effective_slowness(&self, now: Instant) -> f64 {
+    /// Returns the long-term service time here as a multiple of the class mean.
+    pub fn lasting_slowness(&self, now: Instant) -> f64 {
         let unused_us = now.since(self.last_assigned).as_micros() as f64;
         let weight = (-unused_us / SLOWNESS_DECAY_US).exp();
-        let slowness = 1.0 + (self.slowness - 1.0) * weight;
-        slowness * self.cold_factor(now)
+        1.0 + (self.slowness - 1.0) * weight
+    }
+
+    /// Returns the expected service time here as a multiple of the class mean.
+    pub fn effective_slowness(&self, now: Instant) -> f64 {
+        self.lasting_slowness(now) * self.cold_factor(now)
     }
 
     /// Tells whether all requests here have run far longer than expected.
