Give the roles of relay, dispatcher and planner to the largest VMs

Cause: all VMs with at least half of the largest processor share ranked alike, and each role was ranked by itself.

Change: core::roles assigns the services to the largest VMs that are not relays, one each as long as there are enough with half of the largest share, by a matching in the order of size and hash. The rankings are kept in the view and computed when the members or the configuration change, not for each request. Relays rank by size, and a zone with small VMs only gets none. Where all sizes are equal, the rankings are those of before.

Seen to fail: with the former ranking (largest_vms_have_one_role_each, roles_go_to_large_vms_when_one_is_lost, services_of_a_vm_that_does_not_respond_go_to_large_vms_without_a_role, relays_are_large_before_they_are_in_different_zones), with a hash over the number of members (few_roles_move_when_a_member_comes_or_goes), with positions instead of hashes (order_of_the_members_does_not_matter) and without the case of equal sizes (nothing_changes_where_all_vms_have_the_same_size).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -26,6 +26,7 @@
 pub mod retry_budget;
 pub mod retry_limit;
 pub mod revision;
+pub mod roles;
 pub mod shard;
 pub mod table;
 pub mod ticket;
--- a/src/router/permit_client.rs
+++ b/src/router/permit_client.rs
@@ -20,7 +20,6 @@
             Endpoint,
             Member, //
         },
-        rendezvous,
     },
     kernel::{
         clock,
@@ -356,7 +355,7 @@
 
 /// Returns the usable members in the order in which they take over work for a service.
 pub fn ranked_members<'a>(state: &State, view: &'a View, service: &str) -> Vec<&'a Member> {
-    let mut ranked_members = rendezvous::rank_members(&view.members, service);
+    let mut ranked_members = view.rankings.rank(&view.members, service);
     ranked_members.retain(|member| state.is_usable(member));
     ranked_members
 }
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -29,6 +29,7 @@
             Member, //
         },
         rendezvous,
+        roles::Rankings,
         time::Instant,
     },
     edge::{
@@ -100,6 +101,8 @@
     pub members: Vec<Member>,
     /// Key tables with their revisions, sorted by service.
     pub tables: Vec<(u64, Arc<Table>)>,
+    /// Rankings of the members for the services.
+    pub rankings: Arc<Rankings>,
 }
 
 /// An endpoint in a [`View`].
@@ -699,5 +702,14 @@
             view.tables.push((object.revision, Arc::clone(table)));
         }
     }
+    let is_manifest_new =
+        view.manifest.as_ref().map(Arc::as_ptr) != old.manifest.as_ref().map(Arc::as_ptr);
+    view.rankings = if is_manifest_new || view.members != old.members {
+        let services = view.manifest.iter().flat_map(|manifest| &manifest.services);
+        let names = services.map(|service| &*service.name);
+        Arc::new(Rankings::new(&view.members, names, RELAY_COUNT))
+    } else {
+        Arc::clone(&old.rankings)
+    };
     view
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod rebalance;
 mod registry;
 mod request_path;
+mod roles;
 mod router;
 mod support;
 mod table;
