Admit requests for keys by the lasting speed of their owner

Cause: the estimate for an owner followed its last eight answers, which include what a third request waits at the owner for a slot; a request that was on time when it was queued was refused once its goal was out of reach, after most of the goal had passed; and a late one could wait for a third of its time only, although it can be served nowhere else.

Change: core/permit/keyed.rs assesses requests for keys. It plays the running requests, those that wait at the owner and those queued before to the slots, with a speed averaged over 32 answers and measured from when a request began to run. A request is refused at once if it cannot be done by its deadline, and otherwise queued; one that misses its goal while queued becomes late. The planner's capacity uses the same speed. Rate limits and keys without an owner are treated as before, pools too.

The three new tests fail on the code before: "refused after 480 ms", refused with a retry time of 83 ms, and a capacity of 8.4 instead of 12.5 per second.

--- a/src/core/permit/admission.rs
+++ b/src/core/permit/admission.rs
@@ -6,13 +6,13 @@
 use crate::core::{
     permit::{
         endpoint::EXCLUSION_RANGE,
+        keyed::KEYED_ON_TIME_WINDOW_US,
         load::{
             on_time_window_us,
             LOAD_WINDOW_US, //
         },
         Dispatcher,
         Id,
-        Location,
         Locator,
         Priority,
         Reason,
@@ -20,7 +20,6 @@
         Request,
         Waiter,
         GOAL_MARGIN,
-        MAX_WAIT_FRACTION,
         MIN_RETRY_AFTER, //
     },
     time::Instant,
@@ -86,7 +85,7 @@
             Timeliness::OnTime => Instant(goal.0.saturating_sub(min_service_us)).max(now),
             Timeliness::Late => now.after(left.mul_f64(request.max_wait_fraction())),
         };
-        let waiter = Waiter {
+        let mut waiter = Waiter {
             id,
             queued_at: now,
             goal,
@@ -95,6 +94,9 @@
             is_late: timeliness == Timeliness::Late,
             request,
         };
+        if waiter.is_late && waiter.request.key.is_some() {
+            waiter.wait_until = self.keyed_wait_until(&waiter);
+        }
         if timeliness == Timeliness::OnTime {
             self.record_on_time_load(waiter.request.class, &estimate, now);
         }
@@ -131,11 +133,11 @@
         locate: &Locator<'_>,
         now: Instant,
     ) -> Result<(Timeliness, Estimate), Refusal> {
+        if let Some(key) = request.key {
+            return self.assess_keyed(request, key, locate, now);
+        }
         let mean_us = self.mean_us(request.class);
-        let estimate = match request.key {
-            Some(key) => self.estimate_keyed(request, locate(key), locate, mean_us, now)?,
-            None => self.estimate_pooled(request, mean_us, now)?,
-        };
+        let estimate = self.estimate_pooled(request, mean_us, now)?;
         let goal_us = request.goal_us as f64 - GOAL_MARGIN.as_micros() as f64;
         if estimate.finish_us <= goal_us && self.queue.len() < MAX_QUEUE_LENGTH {
             return Ok((Timeliness::OnTime, estimate));
@@ -148,18 +150,19 @@
         } else {
             let deadline = now.after(Duration::from_micros(request.left_us));
             let priority = (request.rank, true, !request.is_return, deadline);
-            let target = (estimate.endpoint, estimate.capacity);
-            let rate_wait_us = estimate.endpoint.map_or(0.0, |index| {
-                self.rate_wait_us(&self.endpoints[index], 0, now)
-            });
-            self.late_wait_us(priority, locate, target, now)
-                .max(rate_wait_us)
+            self.late_wait_us(priority, locate, estimate.capacity, now)
         };
         let may_wait = late_wait_us <= left_us * request.max_wait_fraction()
             && late_wait_us + work_us <= left_us;
         if may_wait && self.queue.len() < MAX_QUEUE_LENGTH {
             return Ok((Timeliness::Late, estimate));
         }
+        Err(self.refuse_full(request, &estimate))
+    }
+
+    /// Refuses a request for which there is no room.
+    pub(super) fn refuse_full(&mut self, request: &Request, estimate: &Estimate) -> Refusal {
+        let goal_us = request.goal_us as f64 - GOAL_MARGIN.as_micros() as f64;
         let excess = Duration::from_micros((estimate.finish_us - goal_us).max(0.0) as u64);
         let retry_after = if estimate.load < 1.0 {
             excess
@@ -169,7 +172,7 @@
         // A caller that is told to retry later than this does not retry at all.
         let max_retry_after = Duration::from_micros(request.left_us).mul_f64(MAX_RETRY_FRACTION);
         let retry_after = retry_after.min(max_retry_after * 2 / 3);
-        Err(self.refuse(Reason::Full, retry_after))
+        self.refuse(Reason::Full, retry_after)
     }
 
     /// Returns how long a late request is expected to wait.
@@ -180,19 +183,15 @@
         &self,
         priority: Priority,
         locate: &Locator<'_>,
-        (endpoint, capacity): (Option<usize>, f64),
+        capacity: f64,
         now: Instant,
     ) -> f64 {
-        let owner = endpoint.map(|index| &*self.endpoints[index].id);
         let ahead = self.queue.iter().filter(|other| {
-            let other_owner = other.request.key.and_then(|key| locate(key).endpoint());
-            other_owner == owner && other.priority() <= priority
+            let owner = other.request.key.and_then(|key| locate(key).endpoint());
+            owner.is_none() && other.priority() <= priority
         });
         let ahead_us: f64 = ahead.map(|other| self.mean_us(other.request.class)).sum();
-        let on_time_load = endpoint.map_or(self.on_time_load, |index| {
-            self.endpoints[index].on_time_load
-        });
-        let spare_fraction = (1.0 - on_time_load.value(now)).max(MIN_SPARE_CAPACITY);
+        let spare_fraction = (1.0 - self.on_time_load.value(now)).max(MIN_SPARE_CAPACITY);
         ahead_us / (capacity * spare_fraction).max(f64::MIN_POSITIVE)
     }
 
@@ -207,11 +206,14 @@
     /// Adds a request that was admitted as on time to the on-time load.
     pub(super) fn record_on_time_load(&mut self, class: u32, estimate: &Estimate, now: Instant) {
         let work_us = self.mean_us(class) / estimate.capacity.max(f64::MIN_POSITIVE);
-        let on_time_load = match estimate.endpoint {
-            Some(index) => &mut self.endpoints[index].on_time_load,
-            None => &mut self.on_time_load,
+        let (on_time_load, window_us) = match estimate.endpoint {
+            Some(index) => (
+                &mut self.endpoints[index].on_time_load,
+                KEYED_ON_TIME_WINDOW_US,
+            ),
+            None => (&mut self.on_time_load, on_time_window_us(work_us)),
         };
-        on_time_load.add(work_us, on_time_window_us(work_us), now);
+        on_time_load.add(work_us, window_us, now);
     }
 
     /// Builds a refusal. Adds up to 50 % of random delay to the retry time, so that
@@ -229,77 +231,6 @@
         }
     }
 
-    pub(super) fn estimate_keyed(
-        &mut self,
-        request: &Request,
-        location: Location<'_>,
-        locate: &Locator<'_>,
-        mean_us: f64,
-        now: Instant,
-    ) -> Result<Estimate, Refusal> {
-        let (id, moving_us) = match location {
-            Location::Held(id) => (id, 0.0),
-            Location::Moving(id) => (id, mean_us),
-            Location::Unowned(span) => {
-                // A request that cannot wait that long is refused with this retry time.
-                let can_wait =
-                    span.as_micros() as f64 <= request.left_us as f64 * MAX_WAIT_FRACTION;
-                if can_wait && span.as_micros() as u64 <= request.goal_us {
-                    return Ok(Estimate {
-                        wait_us: 0.0,
-                        finish_us: span.as_micros() as f64 + mean_us,
-                        load: 0.0,
-                        endpoint: None,
-                        capacity: f64::INFINITY,
-                    });
-                }
-                return Err(self.refuse(Reason::NoOwner, span));
-            }
-        };
-        let Some(index) = self.find_endpoint(id) else {
-            return Err(self.refuse(Reason::NoOwner, OVERLOAD_RETRY_AFTER));
-        };
-        let priority = (
-            request.rank,
-            false,
-            false,
-            now.after(Duration::from_micros(request.goal_us)),
-        );
-        let ahead = self.queue.iter().filter(|other| {
-            let owner = other.request.key.and_then(|key| locate(key).endpoint());
-            owner == Some(id) && other.priority() <= priority
-        });
-        let (ahead_count, ahead_us) = ahead.fold((0, 0.0), |(count, sum), other| {
-            (count + 1, sum + self.mean_us(other.request.class))
-        });
-        let endpoint = &self.endpoints[index];
-        let slowness = endpoint.effective_slowness(now);
-        let capacity = self.parallelism(endpoint, now);
-        let slots = endpoint.slots.max(1) as f64;
-        let running = endpoint.permits.len() as f64;
-        let excluded_us = endpoint.excluded_until.since(now).as_micros() as f64;
-        let free_slots = (slots - running).max(0.0);
-        let wait_us = if free_slots >= 1.0 && ahead_us == 0.0 {
-            0.0
-        } else {
-            let running_us = (running - slots).max(0.0) * mean_us + mean_us / 2.0;
-            (ahead_us + running_us) * slowness / slots
-        };
-        let wait_us = wait_us.max(self.rate_wait_us(endpoint, ahead_count, now));
-        let wait_us = wait_us + moving_us + excluded_us;
-        let load = &mut self.endpoints[index].offered_load;
-        let work_us = mean_us / capacity.max(f64::MIN_POSITIVE);
-        load.add(work_us, LOAD_WINDOW_US, now);
-        let load = load.value(now);
-        Ok(Estimate {
-            wait_us,
-            finish_us: wait_us + mean_us * slowness * ADMISSION_SERVICE_FACTOR,
-            load,
-            endpoint: Some(index),
-            capacity,
-        })
-    }
-
     pub(super) fn estimate_pooled(
         &mut self,
         request: &Request,
@@ -369,13 +300,26 @@
 
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Estimate {
-    wait_us: f64,
+    pub(super) wait_us: f64,
     /// Time until the request is done, including the wait.
-    finish_us: f64,
+    pub(super) finish_us: f64,
     /// Offered load as a share of capacity.
-    load: f64,
+    pub(super) load: f64,
     /// Owner of the key; `None` in a pool.
-    endpoint: Option<usize>,
+    pub(super) endpoint: Option<usize>,
     /// Requests of mean service time that are served in parallel.
-    capacity: f64,
+    pub(super) capacity: f64,
+}
+
+impl Estimate {
+    /// Returns the estimate for a key that is expected to have an owner in time.
+    pub(super) fn unowned(finish_us: f64) -> Self {
+        Self {
+            wait_us: 0.0,
+            finish_us,
+            load: 0.0,
+            endpoint: None,
+            capacity: f64::INFINITY,
+        }
+    }
 }
--- a/src/core/permit/completion.rs
+++ b/src/core/permit/completion.rs
@@ -21,6 +21,9 @@
 /// Minimum weight of a new sample in the slowness of an endpoint.
 const MIN_SLOWNESS_WEIGHT: f64 = 1.0 / 8.0;
 
+/// The same for the lasting slowness: the requests of some five seconds at an owner of keys.
+const MIN_LASTING_WEIGHT: f64 = 1.0 / 32.0;
+
 /// Bounds on the slowness of an endpoint, as a multiple of the class mean.
 const SLOWNESS_RANGE: (f64, f64) = (0.3, 12.0);
 
@@ -48,8 +51,13 @@
                 continue;
             };
             let permit = permits.swap_remove(position);
+            if permit.is_keyed {
+                self.start_next(index, now);
+            }
             if outcome == Outcome::Answered {
-                self.record_service_time(index, permit.class, took, now);
+                // What a request waits at its owner is no service time.
+                let ran = permit.started_at.map_or(took, |at| now.since(at));
+                self.record_service_time(index, permit.class, took.min(ran), now);
             }
             let outcome = match outcome {
                 Outcome::Late => self.classify_late(index, permit.class, took, now),
@@ -116,6 +124,9 @@
         let weight = (1.0 / f64::from(endpoint.samples + 1)).max(MIN_SLOWNESS_WEIGHT);
         let slowness = endpoint.slowness + (sample - endpoint.slowness) * weight;
         endpoint.slowness = slowness.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
+        let weight = (1.0 / f64::from(endpoint.samples + 1)).max(MIN_LASTING_WEIGHT);
+        let lasting = endpoint.lasting + (sample - endpoint.lasting) * weight;
+        endpoint.lasting = lasting.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
     }
 
     pub(super) fn record_contact(&mut self, requester: SocketAddr, now: Instant) {
--- a/src/core/permit/endpoint.rs
+++ b/src/core/permit/endpoint.rs
@@ -79,6 +79,8 @@
     /// Whether its request may run only where its key is held.
     pub is_keyed: bool,
     pub granted_at: Instant,
+    /// When the endpoint began to run the request, if it did not have to wait there.
+    pub started_at: Option<Instant>,
     pub expires_at: Instant,
 }
 
@@ -93,6 +95,8 @@
     pub cold_until: Instant,
     pub permits: Vec<Permit>,
     pub slowness: f64,
+    /// Average over more requests than `slowness`, without the time that they waited.
+    pub lasting: f64,
     pub samples: u32,
     pub failure_rate: f64,
     pub consecutive_failures: u32,
@@ -115,6 +119,7 @@
             cold_until: now,
             permits: Vec::new(),
             slowness: INITIAL_SLOWNESS,
+            lasting: INITIAL_SLOWNESS,
             samples: 0,
             failure_rate: 0.0,
             consecutive_failures: 0,
@@ -147,6 +152,13 @@
         self.lasting_slowness(now) * self.cold_factor(now)
     }
 
+    /// Returns the service time here as a multiple of the class mean, over many requests.
+    pub fn keyed_slowness(&self, now: Instant) -> f64 {
+        let unused_us = now.since(self.last_assigned).as_micros() as f64;
+        let weight = (-unused_us / SLOWNESS_DECAY_US).exp();
+        (1.0 + (self.lasting - 1.0) * weight) * self.cold_factor(now)
+    }
+
     /// Tells whether all requests here have run far longer than expected.
     pub fn is_stuck(&self, mean_us: f64, now: Instant) -> bool {
         let limit_us = (mean_us * self.effective_slowness(now) * STUCK_FACTOR).max(STUCK_MIN_US);
--- a/src/core/permit/mod.rs
+++ b/src/core/permit/mod.rs
@@ -23,6 +23,7 @@
 mod admission;
 mod completion;
 mod endpoint;
+mod keyed;
 mod load;
 mod placement;
 pub mod refusals;
@@ -356,13 +357,6 @@
         (total - excluded, excluded)
     }
 
-    /// Returns the capacity of an endpoint, in requests of the mean service time per second.
-    pub fn capacity(&self, id: &str, now: Instant) -> Option<f64> {
-        let endpoint = &self.endpoints[self.find_endpoint(id)?];
-        let mean_us = self.overall_mean_us();
-        Some(self.parallelism(endpoint, now) * 1e6 / mean_us)
-    }
-
     /// Returns how many requests of mean service time an endpoint serves at a time: as many as
     /// its slots and its rate limit allow.
     fn parallelism(&self, endpoint: &State, now: Instant) -> f64 {
--- a/src/core/permit/placement.rs
+++ b/src/core/permit/placement.rs
@@ -115,14 +115,19 @@
                 .queued_at
                 .after(left.mul_f64(waiter.request.max_wait_fraction()));
             let left_us = late_wait_until.since(now).as_micros() as f64;
-            let is_pooled = waiter.request.key.is_none();
+            let late_wait_until = match waiter.request.key {
+                Some(_) => self.keyed_wait_until(&waiter),
+                None => late_wait_until,
+            };
             let can_wait = || {
-                let pool = (None, self.pool_capacity(now));
                 let request = &waiter.request;
+                if request.key.is_some() {
+                    return late_wait_until > now;
+                }
                 let priority = (request.rank, true, !request.is_return, waiter.deadline);
-                self.late_wait_us(priority, locate, pool, now) < left_us
+                self.late_wait_us(priority, locate, self.pool_capacity(now), now) < left_us
             };
-            if !waiter.is_late && is_pooled && can_wait() {
+            if !waiter.is_late && can_wait() {
                 waiter.is_late = true;
                 waiter.wait_until = late_wait_until;
                 self.enqueue(waiter);
@@ -211,11 +216,13 @@
         let endpoint = &mut self.endpoints[index];
         self.rate_limits.try_take(&endpoint.id, now);
         endpoint.last_assigned = now;
+        let is_started = endpoint.permits.len() < endpoint.slots;
         endpoint.permits.push(Permit {
             id: waiter.id,
             class: waiter.request.class,
             is_keyed: waiter.request.key.is_some(),
             granted_at: now,
+            started_at: is_started.then_some(now),
             expires_at: waiter.deadline,
         });
         endpoint.record_connection(waiter.id.requester, now);
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod explore;
 mod holder;
 mod keyed_limits;
+mod keyed_load;
 mod log_trace;
 mod overload;
 mod ownership;
--- a/tests/suite/support/mod.rs
+++ b/tests/suite/support/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod fixture;
 pub mod judge;
+pub mod keyed_load;
 pub mod measure;
 pub mod process;
 
