--- a/src/core/permit/mod.rs
+++ b/src/core/permit/mod.rs
@@ -27,6 +27,7 @@
 mod load;
 mod placement;
 pub mod refusals;
+pub mod zones;
 
 use crate::core::{
     permit::{endpoint::State, load::Average, refusals::History},
@@ -268,6 +269,7 @@
     is_primary: bool,
     offered_load: Average,
     on_time_load: Average,
+    zones: zones::Zones,
     rng_state: u64,
 }
 
@@ -285,6 +287,7 @@
             is_primary: false,
             offered_load: Average::default(),
             on_time_load: Average::default(),
+            zones: zones::Zones::default(),
             rng_state: 0x9e37_79b9_7f4a_7c15,
         }
     }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -26,3 +26,4 @@
 mod takeover;
 mod ticket;
 mod wire;
+mod zones;
