Send no requests to evacuated zones

Change: a kind of objects for evacuations, watched by the first two relays if the settings have the bound; a zone closes after 0.4 of the bound since the VM learned of it, earlier if it learned late. Dispatchers give no permits for pool endpoints of the zone, planners treat its owners as leaving, and a VM checks again after it has a connection and just before it sends, also when it assigns locally. A restarted owner that hands over its keys is granted none first; this also applies to an owner that is draining.

--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -36,6 +36,8 @@
         Member,
         /// Ownership tables.
         Table,
+        /// Evacuations of zones, each named after its zone.
+        Evacuation,
     }
 }
 
@@ -47,6 +49,7 @@
             Self::Endpoint => "endpoint",
             Self::Member => "member",
             Self::Table => "table",
+            Self::Evacuation => "evacuation",
         }
     }
 }
@@ -82,7 +85,13 @@
 }
 
 /// All kinds of objects.
-pub const KINDS: [Kind; 4] = [Kind::Manifest, Kind::Endpoint, Kind::Member, Kind::Table];
+pub const KINDS: [Kind; 5] = [
+    Kind::Manifest,
+    Kind::Endpoint,
+    Kind::Member,
+    Kind::Table,
+    Kind::Evacuation,
+];
 
 record! {
     /// An object of the store.
@@ -109,6 +118,8 @@
         Table(Arc<Table>),
         /// Content that could not be decoded, or that cannot be used.
         Unreadable,
+        /// Evacuation of a zone, which has no content.
+        Evacuation,
     }
 }
 
@@ -118,7 +129,7 @@
         match self {
             Self::Unreadable => false,
             Self::Endpoint(endpoint) => endpoint.is_addressable(),
-            Self::Manifest(_) | Self::Member(_) | Self::Table(_) => true,
+            Self::Manifest(_) | Self::Member(_) | Self::Table(_) | Self::Evacuation => true,
         }
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod caller_wait;
 pub mod dispatch;
+pub mod evacuation;
 pub mod intent;
 pub mod log_trace;
 pub mod manifest;
--- a/src/core/ownership/changes.rs
+++ b/src/core/ownership/changes.rs
@@ -129,7 +129,16 @@
             }
             return;
         };
+        let is_revoking = matches!(segment.phase, Phase::Revoking { .. });
         if session.is_listed && session.endpoint.born != owner.born {
+            // A restarted process that hands over its keys gets none of them first.
+            if session.endpoint.is_leaving && !is_revoking {
+                if let Some(target) = choose_target() {
+                    let next = self.sessions[target].owner();
+                    self.push_change(from, to, Some(next), Some(owner));
+                    return;
+                }
+            }
             let owner = session.owner();
             let previous = self.previous_owner(index);
             self.push_change(from, to, Some(owner), previous);
@@ -137,7 +146,6 @@
         }
         let is_owner_lost = !session.is_listed || session.is_silent(now);
         let is_expired = now >= segment.lease_end && !session.is_order_pending;
-        let is_revoking = matches!(segment.phase, Phase::Revoking { .. });
         if is_owner_lost && is_expired && !is_revoking {
             if let Some(target) = choose_target() {
                 let owner = self.sessions[target].owner();
--- a/src/core/permit/admission.rs
+++ b/src/core/permit/admission.rs
@@ -47,6 +47,9 @@
 /// there will be room.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// Time after which a caller is told to retry whose key is still owned in an evacuated zone.
+const EVACUATION_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Maximum number of queued requests.
 const MAX_QUEUE_LENGTH: usize = 2_048;
 
@@ -255,6 +258,7 @@
                 }
                 return Err(self.refuse(Reason::NoOwner, span));
             }
+            Location::Closed => return Err(self.refuse(Reason::Evacuated, EVACUATION_RETRY_AFTER)),
         };
         let Some(index) = self.find_endpoint(id) else {
             return Err(self.refuse(Reason::NoOwner, OVERLOAD_RETRY_AFTER));
@@ -308,7 +312,11 @@
     ) -> Result<Estimate, Refusal> {
         let usable: Vec<usize> = self.usable(now);
         if usable.is_empty() {
-            return Err(self.refuse(Reason::NoEndpoint, EXCLUSION_RANGE.0));
+            let refusal = match self.is_evacuated() {
+                true => (Reason::Evacuated, OVERLOAD_RETRY_AFTER),
+                false => (Reason::NoEndpoint, EXCLUSION_RANGE.0),
+            };
+            return Err(self.refuse(refusal.0, refusal.1));
         }
         let mut capacity = 0.0;
         let mut slot_capacity = 0.0;
--- a/src/core/permit/mod.rs
+++ b/src/core/permit/mod.rs
@@ -23,6 +23,7 @@
 mod admission;
 mod completion;
 mod endpoint;
+mod limits;
 mod load;
 mod placement;
 pub mod refusals;
@@ -161,6 +162,8 @@
     NoEndpoint,
     /// The key currently has no owner.
     NoOwner,
+    /// The endpoints of the service, or the owner of the key, are in an evacuated zone.
+    Evacuated,
 }
 
 /// Refusal of a permit.
@@ -183,6 +186,8 @@
     Moving(&'a str),
     /// Without an owner, for about this long.
     Unowned(Duration),
+    /// Held by an endpoint that gets no more requests.
+    Closed,
 }
 
 impl<'a> Location<'a> {
@@ -190,7 +195,7 @@
     pub fn endpoint(self) -> Option<&'a str> {
         match self {
             Self::Held(id) | Self::Moving(id) => Some(id),
-            Self::Unowned(_) => None,
+            Self::Unowned(_) | Self::Closed => None,
         }
     }
 }
@@ -315,24 +320,6 @@
             .retain(|endpoint| endpoint.is_listed || !endpoint.permits.is_empty());
     }
 
-    /// Sets whether this is the dispatcher that requesting VMs try first, and how many of the
-    /// `members` it reaches.
-    pub fn set_role(&mut self, is_primary: bool, reached: usize, members: usize, now: Instant) {
-        self.is_primary = is_primary;
-        let share = rate_limit::dispatcher_share(is_primary, reached, members);
-        self.rate_limits.set_share(share, now);
-    }
-
-    /// Stores what an endpoint said about its rate limit.
-    pub fn merge_rate_limit(&mut self, endpoint: &str, report: Report, now: Instant) {
-        self.rate_limits.merge(endpoint, report, now);
-    }
-
-    /// Returns what an endpoint said last about its rate limit, if it ever named one.
-    pub fn rate_limit(&self, endpoint: &str, now: Instant) -> Option<Report> {
-        self.rate_limits.report(endpoint, now)
-    }
-
     /// Returns the number of queued requests.
     pub fn waiting(&self) -> usize {
         self.queue.len()
@@ -373,13 +360,6 @@
         })
     }
 
-    /// Returns how long a request waits because of the rate limit of an endpoint, with `ahead`
-    /// others before it.
-    fn rate_wait_us(&self, endpoint: &State, ahead: usize, now: Instant) -> f64 {
-        let wait = self.rate_limits.wait(&endpoint.id, ahead, now);
-        wait.as_micros() as f64
-    }
-
     fn overall_mean_us(&self) -> f64 {
         let known = self.classes.iter().filter(|class| class.samples > 0);
         let (sum, count) = known.fold((0.0, 0.0), |(sum, count), class| {
--- a/src/core/permit/placement.rs
+++ b/src/core/permit/placement.rs
@@ -41,7 +41,7 @@
         };
         let listed = (0..self.endpoints.len()).filter(|&index| {
             let endpoint = &self.endpoints[index];
-            endpoint.is_listed && !endpoint.is_leaving
+            endpoint.is_listed && !endpoint.is_leaving && !endpoint.is_evacuated
         });
         let mut listed: Vec<usize> = listed.collect();
         let available = listed.iter().filter(|&&index| !is_excluded(index)).count();
@@ -98,11 +98,13 @@
     /// Removes requests that waited too long. Those that were on time are queued again
     /// as late ones if the spare capacity suffices; the others are refused.
     pub(super) fn expire(&mut self, decisions: &mut Decisions, locate: &Locator<'_>, now: Instant) {
+        let is_evacuated = self.is_evacuated();
         let mut expired = Vec::new();
         let mut index = 0;
         while index < self.queue.len() {
             let waiter = &self.queue[index];
-            if waiter.wait_until > now {
+            let is_refused = is_evacuated && waiter.request.key.is_none();
+            if waiter.wait_until > now && !is_refused {
                 index += 1;
                 continue;
             }
@@ -122,15 +124,20 @@
                 let priority = (request.rank, true, !request.is_return, waiter.deadline);
                 self.late_wait_us(priority, locate, pool, now) < left_us
             };
-            if !waiter.is_late && is_pooled && can_wait() {
+            let is_refused = is_evacuated && is_pooled;
+            if !is_refused && !waiter.is_late && is_pooled && can_wait() {
                 waiter.is_late = true;
                 waiter.wait_until = late_wait_until;
                 self.enqueue(waiter);
                 continue;
             }
+            let reason = match is_refused {
+                true => Reason::Evacuated,
+                false => Reason::Waited,
+            };
             let refusal = Refusal {
                 is_return: waiter.request.is_return,
-                ..self.refuse(Reason::Waited, MIN_RETRY_AFTER)
+                ..self.refuse(reason, MIN_RETRY_AFTER)
             };
             let elapsed = now.since(waiter.queued_at);
             let request = waiter.request.with_elapsed(elapsed.as_micros() as u64);
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -17,6 +17,7 @@
     },
     edge::fields::Fields,
     kernel::{
+        clock,
         http::{
             full,
             remove_hop_by_hop_fields,
@@ -103,6 +104,9 @@
 /// Responses up to this length are buffered completely before they are forwarded.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 * 1024;
 
+/// Reason for not sending a request to an endpoint in an evacuated zone.
+const EVACUATED: &str = "evacuated";
+
 /// Request body.
 pub enum Payload {
     /// The complete body; the request can be sent again.
@@ -137,6 +141,7 @@
             Self::Answered(_) => Outcome::Answered,
             Self::Shed => Outcome::Shed,
             Self::NotHolder => Outcome::NotHolder,
+            Self::NotSent(reason, _) if *reason == EVACUATED => Outcome::Dropped,
             Self::NotSent(..) => Outcome::Unreachable,
             Self::Broken(_) => Outcome::Failed,
             Self::Silent => Outcome::Silent,
@@ -184,6 +189,15 @@
         let payload = buffered.map_or_else(|| Payload::Stream(request.into_body()), Payload::Whole);
         return Completion::NotSent("connections", payload);
     };
+    // The wait for a connection may have been long.
+    if state
+        .view()
+        .evacuations
+        .is_closed(&endpoint.zone, clock::now())
+    {
+        let payload = buffered.map_or_else(|| Payload::Stream(request.into_body()), Payload::Whole);
+        return Completion::NotSent(EVACUATED, payload);
+    }
     let has_unreliable_connections = state.has_unreliable_connections(call.service);
     let max_idle = match (call.repeat.allows_repeat(), has_unreliable_connections) {
         (true, _) => Duration::MAX,
--- a/src/router/dispatcher.rs
+++ b/src/router/dispatcher.rs
@@ -107,6 +107,11 @@
             .endpoints_of(service)
             .map(|entry| (&*entry.endpoint, entry.cold_until));
         self.dispatcher.set_endpoints(endpoints, now);
+        let evacuations = &view.evacuations;
+        self.dispatcher
+            .set_evacuated(|zone| evacuations.contains(zone));
+        // Waiting requests of an evacuated service are refused at once.
+        self.is_dispatch_due |= !evacuations.is_empty();
     }
 
     /// Returns what this process may have leased as planner, if anything.
@@ -156,7 +161,7 @@
     now: Instant,
 ) -> Box<Locator<'a>> {
     let table = view.table(service);
-    let find = move |key| match (planner, table) {
+    let locate = move |key| match (planner, table) {
         (Some(planner), _) => match planner.key_status(key, now) {
             Status::Held(id) => Location::Held(id),
             Status::Moving(id) => Location::Moving(id),
@@ -170,6 +175,10 @@
         }
         (None, None) => Location::Unowned(DEFAULT_UNOWNED_TIME),
     };
+    let find = move |key| match locate(key) {
+        Location::Held(id) if view.is_closed(id, now) => Location::Closed,
+        location => location,
+    };
     // One dispatch looks up the location of each waiting request several times.
     let cache: RefCell<Vec<(u16, Location<'a>)>> = RefCell::default();
     Box::new(move |key| {
@@ -471,5 +480,6 @@
         permit::Reason::Budget => "budget",
         permit::Reason::NoEndpoint => "no_endpoint",
         permit::Reason::NoOwner => "no_owner",
+        permit::Reason::Evacuated => "evacuated",
     }
 }
--- a/src/router/peer.rs
+++ b/src/router/peer.rs
@@ -150,7 +150,9 @@
     });
     state.set_oldest_era(delta.oldest_era);
     let now = clock::now();
-    state.set_synced_at(Instant(now.0.saturating_sub(age.as_micros() as u64)));
+    let matched_at = Instant(now.0.saturating_sub(age.as_micros() as u64));
+    state.set_synced_at(matched_at);
+    state.set_evacuations_known_at(matched_at);
     if !state.receives_all_heartbeats() {
         state.set_reported_unavailable(delta.unavailable_members);
     }
--- a/src/router/permit_client.rs
+++ b/src/router/permit_client.rs
@@ -466,13 +466,17 @@
             let range = view.table(service).and_then(|(_, table)| table.range(key));
             let owner = range.and_then(|range| range.owner.as_ref());
             let entry = owner.and_then(|owner| view.endpoint(&owner.endpoint));
+            if entry.is_some_and(|entry| view.is_closed(&entry.endpoint.id, clock::now())) {
+                return refused(Reason::Evacuated, QUEUED_RETRY_INTERVAL);
+            }
             entry.map(|entry| Box::new((*entry.endpoint).clone()))
         }
         None => {
             let available = view
                 .endpoints_of(service)
                 .map(|entry| &entry.endpoint)
-                .filter(|endpoint| !endpoint.is_leaving && !request.avoid.contains(&endpoint.id));
+                .filter(|endpoint| !endpoint.is_leaving && !request.avoid.contains(&endpoint.id))
+                .filter(|endpoint| !view.is_evacuated(endpoint));
             let rate_limits = state.rate_limits.lock().unwrap();
             let least_loaded = available.min_by_key(|endpoint| {
                 let hash =
@@ -488,7 +492,13 @@
         }
     };
     let Some(endpoint) = chosen else {
-        return refused(Reason::NoOwner, QUEUED_RETRY_INTERVAL);
+        let mut endpoints = view.endpoints_of(service).map(|entry| &entry.endpoint);
+        let is_evacuated = endpoints.any(|endpoint| view.is_evacuated(endpoint));
+        let reason = match is_evacuated && request.key.is_none() {
+            true => Reason::Evacuated,
+            false => Reason::NoOwner,
+        };
+        return refused(reason, QUEUED_RETRY_INTERVAL);
     };
     if local_count(&endpoint.id) >= MAX_LOCAL_PER_ENDPOINT {
         return refused(Reason::Full, QUEUED_RETRY_INTERVAL);
--- a/src/router/planner.rs
+++ b/src/router/planner.rs
@@ -444,7 +444,7 @@
     }
     let endpoints: Vec<Arc<Endpoint>> = view
         .endpoints_of(service)
-        .map(|entry| Arc::clone(&entry.endpoint))
+        .map(|entry| planned_endpoint(&view, &entry.endpoint))
         .collect();
     let dispatcher::Inner {
         dispatcher,
@@ -459,6 +459,18 @@
     }
 }
 
+/// Returns an endpoint as the planner sees it: one in an evacuated zone hands over its keys and
+/// receives none, as one that is leaving does.
+fn planned_endpoint(view: &View, endpoint: &Arc<Endpoint>) -> Arc<Endpoint> {
+    if !view.is_evacuated(endpoint) {
+        return Arc::clone(endpoint);
+    }
+    Arc::new(Endpoint {
+        is_leaving: true,
+        ..(**endpoint).clone()
+    })
+}
+
 /// Carries out an action in a task of its own and reports the outcome to the planner.
 fn execute(state: &Arc<State>, job: &Arc<Job>, channels: &Channels, action: Action) {
     let (task_state, job) = (Arc::clone(state), Arc::clone(job));
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -15,6 +15,7 @@
         },
         permit::{
             Outcome,
+            Reason,
             Request as PermitRequest, //
         },
         registry::Endpoint,
@@ -108,6 +109,9 @@
 /// Part of the drain timeout after which a leaving endpoint gets no more requests.
 const DRAIN_FRACTION: f64 = 0.6;
 
+/// Retry delay for requests to an endpoint that was evacuated, until its keys have moved.
+const EVACUATION_RETRY: Duration = Duration::from_millis(300);
+
 /// One in this many successful requests is logged.
 const SUCCESS_LOG_INTERVAL: u64 = 256;
 
@@ -302,16 +306,19 @@
             };
         record.endpoint = permit.endpoint.id.clone();
         record.is_return = permit.is_return;
-        let Some(endpoint) = current_endpoint(state, &permit.endpoint) else {
-            // The dispatcher does not know yet that the endpoint is gone or leaving.
-            avoid.push(permit.endpoint.id.clone());
-            permit.end(Outcome::Dropped);
-            record.attempts += 1;
-            if record.attempts >= MAX_ATTEMPTS {
-                return history.finish("endpoint_gone", MIN_ATTEMPT_TIME);
+        let endpoint = match current_endpoint(state, &permit.endpoint) {
+            Ok(endpoint) => endpoint,
+            Err(unusable) => {
+                // The dispatcher does not know it yet.
+                avoid.push(permit.endpoint.id.clone());
+                permit.end(Outcome::Dropped);
+                record.attempts += 1;
+                if record.attempts >= MAX_ATTEMPTS {
+                    return history.finish(unusable.reason, unusable.retry_after);
+                }
+                payload = Some(content);
+                continue;
             }
-            payload = Some(content);
-            continue;
         };
         let retry_payload = match &content {
             Payload::Whole(bytes) => Some(Payload::Whole(bytes.clone())),
@@ -398,19 +405,40 @@
     }
 }
 
+/// Why a request may not be sent to an endpoint, although there is a permit for it.
+struct Unusable {
+    reason: &'static str,
+    retry_after: Duration,
+}
+
 /// Returns the endpoint of a permit as this VM knows it, or else as the dispatcher does.
-/// Returns `None` if the endpoint was removed or is about to be.
-fn current_endpoint(state: &State, permitted: &Endpoint) -> Option<Endpoint> {
+/// Returns an error if the endpoint was removed or is about to be, or if its zone is evacuated.
+fn current_endpoint(state: &State, permitted: &Endpoint) -> Result<Endpoint, Unusable> {
     let view = state.view();
-    let Some(entry) = view.endpoint(&permitted.id) else {
-        return (!state.is_removed(&permitted.id)).then(|| permitted.clone());
-    };
-    let limit = state.settings.bounds.drain_timeout.mul_f64(DRAIN_FRACTION);
     let now = clock::now();
-    let is_open = entry
-        .leaving_since
-        .is_none_or(|since| now.since(since) < limit);
-    is_open.then(|| (*entry.endpoint).clone())
+    let gone = Unusable {
+        reason: "endpoint_gone",
+        retry_after: MIN_ATTEMPT_TIME,
+    };
+    let endpoint = match view.endpoint(&permitted.id) {
+        None if state.is_removed(&permitted.id) => return Err(gone),
+        None => permitted,
+        Some(entry) => {
+            let limit = state.settings.bounds.drain_timeout.mul_f64(DRAIN_FRACTION);
+            let leaving_since = entry.leaving_since;
+            if leaving_since.is_some_and(|since| now.since(since) >= limit) {
+                return Err(gone);
+            }
+            &entry.endpoint
+        }
+    };
+    if view.evacuations.is_closed(&endpoint.zone, now) {
+        return Err(Unusable {
+            reason: dispatcher::reason_name(Reason::Evacuated),
+            retry_after: EVACUATION_RETRY,
+        });
+    }
+    Ok(endpoint.clone())
 }
 
 /// What endpoints may already have done with a request.
@@ -541,7 +569,7 @@
     else {
         return None;
     };
-    let endpoint = current_endpoint(state, &permit.endpoint)?;
+    let endpoint = current_endpoint(state, &permit.endpoint).ok()?;
     let completion = attempt::send(state, call, &endpoint, Payload::Whole(content)).await;
     permit.end(completion.outcome());
     Some(completion)
@@ -662,6 +690,13 @@
         "outcome" => reason
     )
     .record(elapsed.as_secs_f64());
+    if reason == dispatcher::reason_name(Reason::Evacuated) {
+        metrics::counter!(
+            "rhubarbpick_evacuation_refusals_total",
+            "service" => routing.service.to_owned()
+        )
+        .increment(1);
+    }
     if status.is_success() && request_number % SUCCESS_LOG_INTERVAL != 0 {
         return;
     }
--- a/src/router/settings.rs
+++ b/src/router/settings.rs
@@ -32,6 +32,8 @@
     pub grace_period: Duration,
     /// Time after which a leaving endpoint must get no more requests.
     pub drain_timeout: Duration,
+    /// Time after which no request may reach an evacuated zone; `None` if zones are not evacuated.
+    pub evacuation_timeout: Option<Duration>,
     /// Longest duration of a grant of keys.
     pub max_lease_duration: Duration,
     /// Limit on repeated requests.
@@ -43,6 +45,7 @@
         Self {
             grace_period: Duration::from_secs(6),
             drain_timeout: Duration::from_secs(2),
+            evacuation_timeout: None,
             max_lease_duration: Duration::from_secs(10),
             retry_limit: Limit {
                 ratio_permille: 200,
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -7,6 +7,7 @@
 use crate::{
     core::{
         caller_wait::Estimator,
+        evacuation::Zones,
         manifest::{
             Manifest,
             RoundRobin,
@@ -100,6 +101,8 @@
     pub members: Vec<Member>,
     /// Key tables with their revisions, sorted by service.
     pub tables: Vec<(u64, Arc<Table>)>,
+    /// Evacuated zones.
+    pub evacuations: Zones,
 }
 
 /// An endpoint in a [`View`].
@@ -136,6 +139,17 @@
         all.filter(move |entry| *entry.endpoint.service == *service)
     }
 
+    /// Returns whether an endpoint is in an evacuated zone.
+    pub fn is_evacuated(&self, endpoint: &Endpoint) -> bool {
+        self.evacuations.contains(&endpoint.zone)
+    }
+
+    /// Returns whether an endpoint gets no more requests because its zone is evacuated.
+    pub fn is_closed(&self, id: &str, now: Instant) -> bool {
+        let zone = self.endpoint(id).map(|entry| &entry.endpoint.zone);
+        zone.is_some_and(|zone| self.evacuations.is_closed(zone, now))
+    }
+
     /// Returns whether each key of a service belongs to one endpoint.
     pub fn is_keyed(&self, service: &str) -> bool {
         let manifest = self.manifest.as_ref();
@@ -244,6 +258,8 @@
     round_robins: Mutex<Vec<(Box<str>, u64, RoundRobin)>>,
     synced_at: Mutex<Instant>,
     read_at: Mutex<Instant>,
+    /// When the evacuations in the mirror were last known to be complete.
+    evacuations_known_at: Mutex<Instant>,
     /// When the store was last found to have been restored from an old copy.
     restored_at: Mutex<Option<Instant>>,
     /// Oldest era of the store from which this VM has objects, also by way of others.
@@ -291,6 +307,7 @@
             round_robins: Mutex::new(Vec::new()),
             synced_at: Mutex::new(Instant::default()),
             read_at: Mutex::new(Instant::default()),
+            evacuations_known_at: Mutex::new(Instant::default()),
             restored_at: Mutex::new(None),
             oldest_era: Mutex::new(None),
             role: Mutex::new(None),
@@ -345,7 +362,9 @@
                 return;
             }
             let mut view = self.view.lock().unwrap();
-            *view = Arc::new(build_view(&mirror, &view, clock::now()));
+            let new_view = self.build_view(&mirror, &view, clock::now());
+            log_evacuations(&view, &new_view);
+            *view = Arc::new(new_view);
         }
         self.changed.notify(usize::MAX);
     }
@@ -386,6 +405,24 @@
         *synced_at = (*synced_at).max(at);
     }
 
+    /// Records that the evacuations in the mirror were complete at `at`.
+    pub fn set_evacuations_known_at(&self, at: Instant) {
+        let mut known_at = self.evacuations_known_at.lock().unwrap();
+        *known_at = (*known_at).max(at);
+    }
+
+    /// Builds the view of a mirror, which takes the place of `old`.
+    fn build_view(&self, mirror: &Mirror, old: &View, now: Instant) -> View {
+        let mut view = build_view(mirror, old, now);
+        if let Some(bound) = self.settings.bounds.evacuation_timeout {
+            let objects = mirror.objects(Kind::Evacuation);
+            let names = objects.map(|object| &*object.name);
+            let known_at = *self.evacuations_known_at.lock().unwrap();
+            view.evacuations = old.evacuations.update(names, bound, known_at, now);
+        }
+        view
+    }
+
     /// Records that this VM itself read the store at `at`.
     pub fn set_read_at(&self, at: Instant) {
         let mut read_at = self.read_at.lock().unwrap();
@@ -657,6 +694,20 @@
     }
 }
 
+/// Logs the evacuations that began or ended between two views.
+fn log_evacuations(old: &View, new: &View) {
+    for zone in new.evacuations.missing_in(&old.evacuations) {
+        log::warn!("event=evacuation_began zone={zone:?}");
+    }
+    for zone in old.evacuations.missing_in(&new.evacuations) {
+        log::warn!("event=evacuation_ended zone={zone:?}");
+    }
+    if old.evacuations != new.evacuations {
+        let count = new.evacuations.len() as f64;
+        metrics::gauge!("rhubarbpick_evacuated_zones").set(count);
+    }
+}
+
 fn build_view(mirror: &Mirror, old: &View, now: Instant) -> View {
     let mut view = View {
         manifest: old.manifest.clone(),
--- a/src/router/sync.rs
+++ b/src/router/sync.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     core::{
+        evacuation,
         mirror::{
             Kind,
             Object,
@@ -115,7 +116,7 @@
 
 /// Starts the tasks that keep the mirror up to date.
 pub fn spawn(state: &Arc<State>) {
-    for kind in KINDS {
+    for kind in KINDS.into_iter().filter(|&kind| is_used(state, kind)) {
         state.context.detach(watch(Arc::clone(state), kind));
     }
     state.context.detach(run_heartbeats(Arc::clone(state)));
@@ -127,11 +128,16 @@
     span + span.mul_f64(rand::random::<f64>())
 }
 
+/// Returns whether this deployment uses a kind.
+fn is_used(state: &State, kind: Kind) -> bool {
+    kind != Kind::Evacuation || state.settings.bounds.evacuation_timeout.is_some()
+}
+
 /// Returns whether the relay at `position` watches a kind.
 fn is_watched(kind: Kind, position: usize) -> bool {
     match kind {
         Kind::Manifest => true,
-        Kind::Endpoint => position < 2,
+        Kind::Endpoint | Kind::Evacuation => position < 2,
         Kind::Member | Kind::Table => position == 0,
     }
 }
@@ -139,7 +145,7 @@
 /// Returns the delay before the next watch of a kind.
 fn batch_delay(kind: Kind) -> Duration {
     match kind {
-        Kind::Manifest => Duration::ZERO,
+        Kind::Manifest | Kind::Evacuation => Duration::ZERO,
         Kind::Table | Kind::Member => BATCH_DELAY,
         Kind::Endpoint => ENDPOINT_BATCH_DELAY,
     }
@@ -187,11 +193,16 @@
             Some(after) => {
                 let wait = match (kind, grace_end) {
                     (Kind::Manifest, _) => MANIFEST_WATCH_TIMEOUT,
+                    (Kind::Evacuation, _) => state
+                        .settings
+                        .bounds
+                        .evacuation_timeout
+                        .map_or(WATCH_TIMEOUT, evacuation::watch_timeout),
                     (_, Some(end)) => end.since(began).min(WATCH_TIMEOUT),
                     _ => WATCH_TIMEOUT,
                 };
                 let changes = watch_changes(&state, kind, after, wait, !is_grace);
-                if kind == Kind::Manifest {
+                if matches!(kind, Kind::Manifest | Kind::Evacuation) {
                     match timeout(wait + WATCH_GRACE, changes).await {
                         Some(result) => result,
                         None => list_objects(&state, kind, true).await,
@@ -214,6 +225,9 @@
                         .saturating_sub(MAX_RESPONSE_AGE.as_micros() as u64);
                     state.set_read_at(began.max(Instant(oldest)));
                 }
+                if kind == Kind::Evacuation {
+                    state.set_evacuations_known_at(began);
+                }
                 let Some(since) = failing_since.take() else {
                     continue;
                 };
@@ -416,7 +430,7 @@
         last_read = clock::now();
         delay = random_delay();
         if has_response {
-            read_manifest(&state).await;
+            read_bounded_kinds(&state).await;
         } else {
             read_store(&state).await;
         }
@@ -443,13 +457,20 @@
     }
 }
 
-/// Reads the configuration because the relays respond but their mirrors are old.
-async fn read_manifest(state: &Arc<State>) {
+/// Reads the kinds of objects that have to be known within a bound, because the relays respond
+/// but their mirrors are old.
+async fn read_bounded_kinds(state: &Arc<State>) {
     let began = clock::now();
     log::info!("event=manifest_read age_ms={}", state.age().as_millis());
-    match list_objects(state, Kind::Manifest, true).await {
-        Ok(_) => state.set_synced_at(began),
-        Err(error) => log::warn!("event=store_lost kind=Manifest why=\"{error}\""),
+    for kind in [Kind::Manifest, Kind::Evacuation] {
+        if !is_used(state, kind) {
+            continue;
+        }
+        match list_objects(state, kind, true).await {
+            Ok(_) if kind == Kind::Manifest => state.set_synced_at(began),
+            Ok(_) => state.set_evacuations_known_at(began),
+            Err(error) => log::warn!("event=store_lost kind={kind:?} why=\"{error}\""),
+        }
     }
 }
 
@@ -457,7 +478,7 @@
 async fn read_store(state: &Arc<State>) {
     let began = clock::now();
     log::info!("event=store_read age_ms={}", state.age().as_millis());
-    for kind in [Kind::Manifest, Kind::Endpoint, Kind::Member, Kind::Table] {
+    for kind in KINDS.into_iter().filter(|&kind| is_used(state, kind)) {
         // Only relays can tell whether a missing endpoint is gone or may register again after
         // an outage.
         let has_removals = kind != Kind::Endpoint;
@@ -467,4 +488,5 @@
         }
     }
     state.set_synced_at(began);
+    state.set_evacuations_known_at(began);
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod connection;
 mod copy;
+mod evacuation;
 mod explore;
 mod holder;
 mod keyed_limits;
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -1,5 +1,6 @@
 //! Tests of the router process against a fake platform.
 
+mod evacuation;
 mod faulty_answers;
 mod faulty_endpoint;
 mod stand_in;
@@ -49,11 +50,13 @@
             Payload, //
         },
         permit_client,
+        settings::Bounds,
         wire,
         Router, //
     },
 };
 use stand_in::{
+    bounds,
     start_router,
     wait_until,
     Mode,
@@ -134,6 +137,7 @@
     keyed: Vec<Arc<Server>>,
     pool: Vec<Arc<Server>>,
     routers: Vec<Router>,
+    bounds: Bounds,
     requests: u64,
 }
 
@@ -146,24 +150,41 @@
 
     /// Like [`System::start`], with the routers on a context of their own.
     fn start_on(router_context: &Context, context: Context, name: &str, vms: usize) -> Self {
+        let zones = ["a"; 3];
+        let contexts = (router_context, context);
+        Self::start_with(contexts, name, vms, zones, bounds(), |_| {})
+    }
+
+    /// Like [`System::start_on`], with the endpoints of each service in `zones`, and with other
+    /// bounds and a manifest that `configure` has changed.
+    fn start_with(
+        (router_context, context): (&Context, Context),
+        name: &str,
+        vms: usize,
+        zones: [&str; 3],
+        bounds: Bounds,
+        configure: impl FnOnce(&mut Manifest),
+    ) -> Self {
         let (address, store) = Store::open();
         let (keyed_name, pool_name) = (format!("{name}-keyed"), format!("{name}-pool"));
-        let manifest = manifest(&keyed_name, &pool_name);
+        let mut manifest = manifest(&keyed_name, &pool_name);
+        configure(&mut manifest);
         store.put(
             Kind::Manifest,
             "main",
             Some(Value::Manifest(Arc::new(manifest))),
         );
         let start = |service: &str, is_keyed| {
-            let servers = (0..3).map(|index| {
+            let servers = zones.iter().enumerate().map(|(index, zone)| {
                 let id = format!("{service}-{index}");
-                Server::start(&context, &store, &id, service, is_keyed)
+                Server::start(&context, &store, zone, &id, service, is_keyed)
             });
             servers.collect::<Vec<_>>()
         };
         let (keyed, pool) = (start(&keyed_name, true), start(&pool_name, false));
         let routers = (0..vms)
-            .map(|index| start_router(router_context, address, &format!("{name}-vm-{index}")));
+            .map(|index| format!("{name}-vm-{index}"))
+            .map(|name| start_router(router_context, address, &name, bounds));
         let routers = routers.collect();
         let system = Self {
             name: name.into(),
@@ -173,6 +194,7 @@
             keyed,
             pool,
             routers,
+            bounds,
             requests: 0,
         };
         assert!(
@@ -191,8 +213,12 @@
     fn add_vm(&mut self) -> usize {
         let vm = self.routers.len();
         let name = format!("{}-vm-{vm}", self.name);
-        self.routers
-            .push(start_router(&self.context, self.store_address, &name));
+        self.routers.push(start_router(
+            &self.context,
+            self.store_address,
+            &name,
+            self.bounds,
+        ));
         vm
     }
 
--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -335,10 +335,11 @@
 }
 
 impl Server {
-    /// Starts an endpoint and registers it in the store.
+    /// Starts an endpoint in a zone and registers it in the store.
     pub fn start(
         context: &Context,
         store: &Store,
+        zone: &str,
         id: &str,
         service: &str,
         keyed: bool,
@@ -348,7 +349,7 @@
             id: id.into(),
             service: service.into(),
             address,
-            zone: "a".into(),
+            zone: zone.into(),
             slots: 2,
             is_leaving: false,
             cold_ms: 0,
@@ -559,8 +560,20 @@
     }
 }
 
+/// Returns the bounds of routers.
+pub fn bounds() -> Bounds {
+    Bounds {
+        retry_limit: Limit {
+            ratio_permille: 200,
+            slack: 60,
+            window: Duration::from_secs(10),
+        },
+        ..Bounds::default()
+    }
+}
+
 /// Starts a router in the test process.
-pub fn start_router(context: &Context, store: SocketAddr, name: &str) -> Router {
+pub fn start_router(context: &Context, store: SocketAddr, name: &str, bounds: Bounds) -> Router {
     let settings = Settings {
         name: name.into(),
         zone: "a".into(),
@@ -581,14 +594,7 @@
         cpu_millis: 1_000,
         memory_bytes: 1 << 28,
         max_file_descriptors: 4_096,
-        bounds: Bounds {
-            retry_limit: Limit {
-                ratio_permille: 200,
-                slack: 60,
-                window: Duration::from_secs(10),
-            },
-            ..Bounds::default()
-        },
+        bounds,
         log_level: "info".into(),
     };
     router::spawn(context, settings, None).expect("the addresses must be free")
--- a/tests/suite/wire.rs
+++ b/tests/suite/wire.rs
@@ -103,6 +103,7 @@
             object(Kind::Endpoint, None),
             object(Kind::Member, Some(Value::Member(Arc::new(member)))),
             object(Kind::Table, Some(Value::Table(Arc::new(table)))),
+            object(Kind::Evacuation, Some(Value::Evacuation)),
         ],
         oldest_era: 1,
         age_ms: 5,
