--- a/src/core/permit/keyed.rs
+++ b/src/core/permit/keyed.rs
@@ -15,7 +15,8 @@
     permit::{
         admission::{
             Estimate,
-            Timeliness, //
+            Timeliness,
+            EVACUATION_RETRY_AFTER, //
         },
         endpoint::State,
         load::LOAD_WINDOW_US,
@@ -97,6 +98,7 @@
                 let timeliness = Self::timeliness(request, finish_us);
                 return Ok((timeliness, Estimate::unowned(finish_us)));
             }
+            Location::Closed => return Err(self.refuse(Reason::Evacuated, EVACUATION_RETRY_AFTER)),
         };
         let Some(index) = self.find_endpoint(id) else {
             return Err(self.refuse(Reason::NoOwner, UNKNOWN_OWNER_RETRY));
