Use the load that endpoints report

Cause: a host that works three times as slowly for 400 ms raised the measured slowness of its endpoint for seconds, and requests were placed at it while others were faster. Requests of other dispatchers at an endpoint were unknown.

Change: core::permit::reported_load parses the field (Server-Load on the platform) of every response with the request's id. VMs forward the latest report with its age when a permit ends (Done.load, default none). Placement goes by expected completion, with the host's slowness for as long as it is likely to last and requests beyond the dispatcher's own. Service times are divided by the reported slowness of their moments. endpoint::State has host_slowness and completion_us. Nothing changes without reports.

Not tried: the router's test load_reports_reach_the_dispatcher_from_all_vms.

--- a/src/core/permit/completion.rs
+++ b/src/core/permit/completion.rs
@@ -99,7 +99,8 @@
             self.classes.insert(position, class);
             position
         });
-        let took_us = took.as_micros() as f64;
+        let load = &self.endpoints[index].reported_load;
+        let took_us = load.usual_us(took.as_micros() as f64, now);
         let class = &mut self.classes[position];
         class.samples = class.samples.saturating_add(1);
         let weight = (1.0 / f64::from(class.samples)).max(MIN_CLASS_MEAN_WEIGHT);
--- a/src/core/permit/endpoint.rs
+++ b/src/core/permit/endpoint.rs
@@ -6,6 +6,7 @@
 use crate::core::{
     permit::{
         load::Average,
+        reported_load::Load,
         Id,
         Outcome,
         Request, //
@@ -104,6 +105,7 @@
     pub connections: Vec<(SocketAddr, Instant)>,
     pub offered_load: Average,
     pub on_time_load: Average,
+    pub reported_load: Load,
 }
 
 impl State {
@@ -126,6 +128,7 @@
             connections: Vec::new(),
             offered_load: Average::default(),
             on_time_load: Average::default(),
+            reported_load: Load::default(),
         }
     }
 
@@ -149,6 +152,23 @@
         self.lasting_slowness(now) * self.cold_factor(now)
     }
 
+    /// Returns how slow the host is expected to be at the moment, as a multiple of its usual
+    /// service times; 1 if the endpoint does not report it.
+    pub fn host_slowness(&self, now: Instant) -> f64 {
+        self.reported_load.host_slowness(now)
+    }
+
+    /// Returns the time in which a request sent now is expected to be done, from what was measured
+    /// and what the endpoint reports.
+    pub fn completion_us(&self, mean_us: f64, now: Instant) -> f64 {
+        let service_us = mean_us * self.effective_slowness(now);
+        let others = self.reported_load.others(service_us, now);
+        let slots = self.slots.max(1) as f64;
+        let excess = (self.permits.len() as f64 + others + 1.0 - slots).clamp(0.0, others);
+        let wait_us = excess * service_us / slots;
+        wait_us + self.reported_load.duration_us(service_us, now)
+    }
+
     /// Tells whether all requests here have run far longer than expected.
     pub fn is_stuck(&self, mean_us: f64, now: Instant) -> bool {
         let limit_us = (mean_us * self.effective_slowness(now) * STUCK_FACTOR).max(STUCK_MIN_US);
@@ -167,7 +187,7 @@
         mean_us: f64,
         now: Instant,
     ) -> f64 {
-        let expected_us = mean_us * self.effective_slowness(now);
+        let expected_us = self.completion_us(mean_us, now);
         let urgency = expected_us / (request.goal_us as f64).max(expected_us);
         let mut cost_us = expected_us * (1.0 + urgency) * (1.0 + 3.0 * self.failure_rate);
         if self.zone != request.zone {
--- a/src/core/permit/mod.rs
+++ b/src/core/permit/mod.rs
@@ -26,6 +26,7 @@
 mod load;
 mod placement;
 pub mod refusals;
+pub mod reported_load;
 pub mod zones;
 
 use crate::core::{
--- a/src/core/permit/placement.rs
+++ b/src/core/permit/placement.rs
@@ -85,8 +85,8 @@
             let waiter = self.queue.remove(index);
             self.assign(endpoint, &waiter, now);
             self.record_zone(&mut zone_pass, &waiter, endpoint, now);
-            let expected_us = self.mean_us(waiter.request.class)
-                * self.endpoints[endpoint].effective_slowness(now);
+            let mean_us = self.mean_us(waiter.request.class);
+            let expected_us = self.endpoints[endpoint].completion_us(mean_us, now);
             decisions.assignments.push(Assignment {
                 request: waiter.id,
                 endpoint: self.endpoints[endpoint].id.clone(),
--- a/src/core/permit/zones.rs
+++ b/src/core/permit/zones.rs
@@ -593,7 +593,7 @@
         if !usable.iter().any(is_served) {
             return;
         }
-        let service_us = |index: &usize| mean_us * self.endpoints[*index].effective_slowness(now);
+        let service_us = |index: &usize| self.endpoints[*index].completion_us(mean_us, now);
         let own = free.iter().filter(|index| is_own(index));
         let Some(own_us) = own.map(service_us).min_by(f64::total_cmp) else {
             let accepts = |index: &usize| {
--- a/src/edge/fields.rs
+++ b/src/edge/fields.rs
@@ -20,6 +20,8 @@
     pub not_run: HeaderName,
     /// Most requests per second that the endpoint that sent the response takes from all VMs.
     pub rate_limit: HeaderName,
+    /// Load of the endpoint that sent the response.
+    pub load: HeaderName,
     /// Key of the request.
     pub key: HeaderName,
 }
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -8,7 +8,10 @@
 use crate::{
     core::{
         manifest::Idempotency,
-        permit::Outcome,
+        permit::{
+            reported_load,
+            Outcome, //
+        },
         rate_limit::{
             self,
             Report, //
@@ -17,6 +20,7 @@
     },
     edge::fields::Fields,
     kernel::{
+        clock,
         http::{
             full,
             remove_hop_by_hop_fields,
@@ -260,6 +264,7 @@
     }
     if is_matching {
         record_rate_limit(state, endpoint, &response);
+        record_load(state, endpoint, &response);
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Completion::NotHolder;
@@ -306,6 +311,34 @@
     state.merge_rate_limit(&endpoint.id, report);
 }
 
+/// Records the load that an endpoint reports in its response, if it does.
+fn record_load(state: &State, endpoint: &Endpoint, response: &Response<pool::Stream>) {
+    let Some(load) = response.headers().get(&state.fields.load) else {
+        return;
+    };
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        // Another endpoint may have sent it.
+        return;
+    }
+    let text = load.to_str().unwrap_or_default();
+    let report = reported_load::parse(text);
+    let outcome = report.map_or_else(reported_load::Error::name, |_| "usable");
+    metrics::counter!(
+        "rhubarbpick_load_reports_total",
+        "service" => endpoint.service.to_string(),
+        "outcome" => outcome
+    )
+    .increment(1);
+    let mut reports = state.load_reports.lock().unwrap();
+    if reports.record(&endpoint.id, report, clock::now()) {
+        let event = match report {
+            Ok(_) => "load_reports_usable",
+            Err(_) => "load_reports_unusable",
+        };
+        log::info!("event={event} endpoint={} why={outcome}", endpoint.id);
+    }
+}
+
 /// Reads the response body, completely if it is short.
 async fn read_body(
     state: &State,
--- a/src/router/datagram.rs
+++ b/src/router/datagram.rs
@@ -127,7 +127,11 @@
             outcome,
             took_us,
             rate_limit,
-        } => dispatcher::complete(state, from, number, &service, outcome, took_us, rate_limit),
+            load,
+        } => {
+            dispatcher::record_load(state, from, number, &service, load);
+            dispatcher::complete(state, from, number, &service, outcome, took_us, rate_limit);
+        }
         Datagram::OpenPermits { service, numbers } => {
             dispatcher::reconcile(state, from, &service, &numbers)
         }
--- a/src/router/dispatcher.rs
+++ b/src/router/dispatcher.rs
@@ -295,6 +295,34 @@
     }
 }
 
+/// Stores the load that the endpoint of a permit reported, before the permit ends.
+pub fn record_load(
+    state: &Arc<State>,
+    requester: SocketAddr,
+    number: u64,
+    service: &str,
+    load: Option<wire::Load>,
+) {
+    let Some(wire::Load { report, age_us }) = load else {
+        return;
+    };
+    let now = clock::now();
+    let id = Id { requester, number };
+    let age = Duration::from_micros(age_us);
+    let job = job(state, service);
+    let mut inner = job.inner.lock().unwrap();
+    let outcome = match inner.dispatcher.record_load(id, report, age, now) {
+        true => "used",
+        false => "unused",
+    };
+    metrics::counter!(
+        "rhubarbpick_forwarded_load_reports_total",
+        "service" => service.to_owned(),
+        "outcome" => outcome
+    )
+    .increment(1);
+}
+
 /// Handles the end of a permit.
 pub fn complete(
     state: &Arc<State>,
@@ -451,6 +479,9 @@
     let (open, left_out) = inner.dispatcher.endpoint_counts(now);
     gauge("rhubarbpick_open_endpoints", open);
     gauge("rhubarbpick_left_out_endpoints", left_out);
+    let (reporting, slow) = inner.dispatcher.reporting_counts(now);
+    gauge("rhubarbpick_reporting_endpoints", reporting);
+    gauge("rhubarbpick_slow_hosts", slow);
     if let Some(planner) = &inner.planner {
         let (ranges, held) = planner.range_counts();
         gauge("rhubarbpick_key_ranges", ranges);
--- a/src/router/permit_client.rs
+++ b/src/router/permit_client.rs
@@ -37,6 +37,7 @@
         },
         wire::{
             Datagram,
+            Load,
             RateLimit, //
         },
     },
@@ -262,6 +263,7 @@
             outcome: self.outcome,
             took_us: self.began.elapsed().as_micros() as u64,
             rate_limit: known_rate_limit(&self.state, &self.endpoint.id),
+            load: known_load(&self.state, &self.endpoint.id),
         };
         send(&self.state, self.dispatcher, done);
     }
@@ -277,6 +279,16 @@
     })
 }
 
+/// Returns what an endpoint reported to this VM of its load, unless that is stale.
+fn known_load(state: &State, endpoint: &str) -> Option<Load> {
+    let reports = state.load_reports.lock().unwrap();
+    let (report, age) = reports.latest(endpoint, clock::now())?;
+    Some(Load {
+        report,
+        age_us: age.as_micros() as u64,
+    })
+}
+
 /// Returns whether a dispatcher does not know of a rate limit that this VM knows, given what the
 /// dispatcher knows.
 fn is_rate_limit_unknown(state: &State, endpoint: &str, theirs: Option<Report>) -> bool {
@@ -308,6 +320,7 @@
             outcome: Outcome::Dropped,
             took_us: 0,
             rate_limit: None,
+            load: None,
         };
         send(&self.state, self.dispatcher, done);
     }
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -19,6 +19,7 @@
             Value, //
         },
         ownership::Table,
+        permit::reported_load::Reports,
         rate_limit::{
             self,
             Limits,
@@ -253,6 +254,8 @@
     caller_wait: Mutex<Estimator>,
     /// Rate limits that endpoints named, as used while this VM reaches no dispatcher.
     pub rate_limits: Mutex<Limits>,
+    /// Load that endpoints reported to this VM.
+    pub load_reports: Mutex<Reports>,
     unreliable_connections: Mutex<Vec<(Box<str>, Instant)>>,
     is_leaving: AtomicBool,
     is_registered: AtomicBool,
@@ -297,6 +300,7 @@
             store_failed_at: Mutex::new(None),
             caller_wait: Mutex::new(Estimator::default()),
             rate_limits: Mutex::new(Limits::new(rate_limit::local_share(1), rand::random())),
+            load_reports: Mutex::default(),
             unreliable_connections: Mutex::new(Vec::new()),
             is_leaving: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
--- a/src/router/wire.rs
+++ b/src/router/wire.rs
@@ -11,6 +11,7 @@
     mirror::Object,
     ownership::History,
     permit::{
+        reported_load,
         Outcome,
         Reason,
         Request, //
@@ -89,6 +90,9 @@
         took_us: u64,
         /// What the sender knows of the rate limit of the permit's endpoint.
         rate_limit: Option<RateLimit>,
+        /// What the permit's endpoint reported lately of its load.
+        #[serde(default)]
+        load: Option<Load>,
     },
     /// All permits of a service that the sender has open at the receiver.
     #[serde(rename = "Open")]
@@ -147,6 +151,15 @@
         pub report: Report,
     }
 
+    /// Load that an endpoint reported.
+    #[derive(Copy)]
+    pub struct Load {
+        /// What it reported.
+        pub report: reported_load::Report,
+        /// Time since it did, in microseconds.
+        pub age_us: u64,
+    }
+
     /// Requests the changes that the sender does not have.
     pub struct Query {
         /// Identifies the mirror by the run of its process; changes are numbered per mirror.
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -17,6 +17,7 @@
 mod rate_limit;
 mod rebalance;
 mod registry;
+mod reported_load;
 mod request_path;
 mod router;
 mod support;
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -34,6 +34,7 @@
         registry::Endpoint,
     },
     kernel::{
+        clock,
         http::full,
         pool,
         runtime::Context,
@@ -607,6 +608,49 @@
     assert_within_limit(limited, PER_S, began + LIMIT_GRACE);
 }
 
+/// Returns how many endpoints without keys report their load to a dispatcher, and how many of
+/// these report slow hosts.
+fn reporting_counts(system: &System) -> (usize, usize) {
+    let service = &system.pool[0].endpoint.service;
+    let counts = system.routers.iter().map(|router| {
+        let jobs = router.state.jobs.lock().unwrap();
+        let job = jobs.iter().find(|job| job.service == *service);
+        job.map_or((0, 0), |job| {
+            let inner = job.inner.lock().unwrap();
+            inner.dispatcher.reporting_counts(clock::now())
+        })
+    });
+    counts.max().unwrap()
+}
+
+#[test]
+fn load_reports_reach_the_dispatcher_from_all_vms() {
+    let mut system = System::start("load-reports", 3);
+    assert_eq!(reporting_counts(&system), (0, 0));
+    for server in &system.pool {
+        server.set_load(Some("1,0,2,350"));
+    }
+    // Refusals carry reports as well.
+    system.pool[0].set_mode(Mode::Shed);
+    let count = system.pool.len();
+    let mut seen = (0, 0);
+    for number in 0..60 {
+        system.send(number % 3, Method::GET, "/read/x", None);
+        seen = seen.max(reporting_counts(&system));
+    }
+    assert_eq!(seen.0, count, "endpoints report");
+    assert!(seen.1 > 0, "hosts are slow");
+    for server in &system.pool {
+        server.set_load(Some("9,0,2,350"));
+    }
+    thread::sleep(Duration::from_millis(1_100));
+    for number in 0..6 {
+        let (_, status, _) = system.send(number % 3, Method::GET, "/read/x", None);
+        assert_eq!(status, StatusCode::OK);
+    }
+    assert_eq!(reporting_counts(&system), (0, 0), "impossible reports");
+}
+
 #[test]
 fn overdue_idempotent_request_is_hedged() {
     let mut system = System::start("overdue", 2);
--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -115,6 +115,7 @@
         signature: HeaderName::from_static("x-signature"),
         not_run: HeaderName::from_static("x-not-run"),
         rate_limit: HeaderName::from_static("x-limit"),
+        load: HeaderName::from_static("x-load"),
         key: HeaderName::from_static("x-key"),
     }
 }
@@ -326,6 +327,7 @@
     /// When each request arrived.
     pub arrivals: Mutex<Vec<Instant>>,
     rate_limit: Mutex<Option<f64>>,
+    load: Mutex<Option<Box<str>>>,
     mode: Mutex<Mode>,
     is_running: AtomicBool,
     leases: Mutex<Vec<(u16, u16, u64, Instant)>>,
@@ -359,6 +361,7 @@
             runs: Mutex::default(),
             arrivals: Mutex::default(),
             rate_limit: Mutex::default(),
+            load: Mutex::default(),
             mode: Mutex::new(Mode::Normal),
             is_running: AtomicBool::new(true),
             leases: Mutex::default(),
@@ -393,6 +396,12 @@
         *self.rate_limit.lock().unwrap() = per_s;
     }
 
+    /// Reports this load in the responses to all requests from now on, also those that it does
+    /// not run, or none.
+    pub fn set_load(&self, load: Option<&str>) {
+        *self.load.lock().unwrap() = load.map(Into::into);
+    }
+
     /// Stops the endpoint without notice.
     pub fn crash(&self) {
         self.is_running.store(false, Ordering::SeqCst);
@@ -417,6 +426,10 @@
             let value = HeaderValue::from_str(&per_s.to_string()).unwrap();
             response.headers_mut().insert(fields().rate_limit, value);
         }
+        if let Some(load) = &*self.load.lock().unwrap() {
+            let value = HeaderValue::from_str(load).unwrap();
+            response.headers_mut().insert(fields().load, value);
+        }
         response
     }
 
