--- a/src/core/permit/mod.rs
+++ b/src/core/permit/mod.rs
@@ -28,6 +28,7 @@
 mod load;
 mod placement;
 pub mod refusals;
+pub mod reported_load;
 pub mod zones;
 
 use crate::core::{
