Hold memory for callers within one budget for each process

Cause: everything that buffers for callers (request bodies, responses, heads, HTTP/2 streams, copies in the HTTP library's write buffers, socket buffers) was limited one by one at most, never in sum.

A body's reservation lives with its bytes, so it ends when the last copy is dropped. Reads from a caller stop while there is no memory; after 1 s the request is refused with 503, and the connections of those who hold the most without progress are closed. Streams write vectored, so the HTTP library no longer copies bodies. Socket buffers are bounded. The ordinary path pays one atomic addition for each reservation (head, body, response), no lock and no system call.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 pub mod log_trace;
 pub mod manifest;
 pub mod membership;
+pub mod memory_budget;
 pub mod mirror;
 pub mod ownership;
 pub mod permit;
--- a/src/kernel/http.rs
+++ b/src/kernel/http.rs
@@ -4,12 +4,20 @@
 //! closes the listening socket, lets each connection finish the request in
 //! flight and then closes the connection.
 
-use crate::kernel::{
-    error::Error,
-    fair_stream,
-    runtime::{
-        sleep,
-        Context, //
+use crate::{
+    core::memory_budget::Purpose,
+    kernel::{
+        error::Error,
+        fair_stream,
+        memory::{
+            Account,
+            Budget, //
+        },
+        runtime::{
+            sleep,
+            Context, //
+        },
+        tcp, //
     },
 };
 use async_io::Async;
@@ -40,10 +48,7 @@
     Response,
     StatusCode, //
 };
-use smol_hyper::rt::{
-    FuturesIo,
-    SmolTimer, //
-};
+use smol_hyper::rt::SmolTimer;
 use std::{
     convert::Infallible,
     future::Future,
@@ -89,6 +94,21 @@
 /// is checked for the rest of an incomplete preface.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Maximum number of concurrent streams of an HTTP/2 connection with a budget.
+const HTTP2_STREAMS: u32 = 100;
+
+/// Bytes that the client of an HTTP/2 connection with a budget may send ahead on a stream, and on
+/// all of its streams together.
+const HTTP2_STREAM_WINDOW: u32 = 64 * 1024 - 1;
+const HTTP2_CONNECTION_WINDOW: u32 = 128 * 1024;
+
+/// Bytes of responses' bodies that the HTTP library takes from each stream ahead of the client.
+const HTTP2_SEND_BYTES: usize = 16 * 1024;
+
+/// Bytes that an HTTP/2 connection reserves beyond those of any connection: its window and its
+/// buffers for frames.
+const HTTP2_BYTES: usize = HTTP2_CONNECTION_WINDOW as usize + 64 * 1024;
+
 /// Limits on what the clients of a server may use.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -143,21 +163,48 @@
     }
 }
 
+/// Memory that a server may use for its clients.
+#[derive(Clone)]
+pub struct Memory {
+    /// Budget that its connections reserve from. Handlers get the account of the connection by
+    /// [`Account::of`].
+    pub budget: Arc<Budget>,
+    /// Sizes of the receive and of the send buffer of each socket.
+    pub socket_buffers: (usize, usize),
+}
+
 /// Starts a server that listens on `address` and answers with `handler`.
 pub fn bind(
     context: &Context,
     address: SocketAddr,
     limits: Limits,
     handler: Handler,
+) -> Result<Listener, Error> {
+    bind_metered(context, address, limits, None, handler)
+}
+
+/// Starts a server as [`bind`] does, whose clients share `memory`.
+pub fn bind_metered(
+    context: &Context,
+    address: SocketAddr,
+    limits: Limits,
+    memory: Option<Memory>,
+    handler: Handler,
 ) -> Result<Listener, Error> {
     let failed = |source| Error::Bind { address, source };
     let socket = Async::<TcpListener>::bind(address).map_err(failed)?;
+    if let Some(memory) = &memory {
+        // Accepted connections inherit the sizes.
+        let (receive, send) = memory.socket_buffers;
+        tcp::set_buffer_sizes(&socket, receive, send).map_err(failed)?;
+    }
     let address = socket.get_ref().local_addr().map_err(failed)?;
     let (shutdown, shutdown_signal) = async_channel::bounded(1);
     let open_connections = Arc::new(AtomicUsize::new(0));
     let server = Server {
         context: context.clone(),
         limits,
+        budget: memory.map(|memory| memory.budget),
         handler,
         shutdown_signal,
         open_connections: Arc::clone(&open_connections),
@@ -175,6 +222,7 @@
 struct Server {
     context: Context,
     limits: Limits,
+    budget: Option<Arc<Budget>>,
     handler: Handler,
     shutdown_signal: async_channel::Receiver<()>,
     open_connections: Arc<AtomicUsize>,
@@ -199,30 +247,70 @@
     if server.open_connections.load(Ordering::Acquire) >= server.limits.max_connections {
         return;
     }
+    let opened = server.budget.as_ref().map(Budget::open);
+    if matches!(opened, Some(None)) {
+        // There is no memory for another connection.
+        return;
+    }
+    let opened = opened.flatten();
     let _ = stream.get_ref().set_nodelay(true);
     server.open_connections.fetch_add(1, Ordering::AcqRel);
     let task = server.clone();
     server.context.detach(async move {
-        serve_connection(stream, &task).await;
+        match &opened {
+            None => serve_connection(stream, &task, None).await,
+            Some(opened) => {
+                let account = &opened.account;
+                let serve = serve_connection(stream, &task, Some(account));
+                future::or(serve, account.closing()).await;
+            }
+        }
+        drop(opened);
         task.open_connections.fetch_sub(1, Ordering::AcqRel);
     });
 }
 
-async fn serve_connection(stream: Async<TcpStream>, server: &Server) {
+async fn serve_connection(
+    stream: Async<TcpStream>,
+    server: &Server,
+    account: Option<&Arc<Account>>,
+) {
     let handler = Arc::clone(&server.handler);
-    let service = service_fn(move |request| {
+    let service_account = account.cloned();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        let running = service_account.as_ref().map(|account| {
+            request.extensions_mut().insert(Arc::clone(account));
+            account.begin_request()
+        });
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move {
+            let response = answer.await;
+            drop(running);
+            Ok::<_, Infallible>(response)
+        }
     });
     let shutdown = async {
         let _ = server.shutdown_signal.recv().await;
     };
     if is_http2(&stream, server).await {
+        let reserved = account.map(|account| account.try_reserve(Purpose::Small, HTTP2_BYTES));
+        if matches!(reserved, Some(None)) {
+            return;
+        }
         let executor = Spawner(server.context.clone());
-        let connection = http2::Builder::new(executor)
+        let mut builder = http2::Builder::new(executor);
+        builder
             .timer(SmolTimer::new())
-            .max_header_list_size(server.limits.head_bytes as u32)
-            .serve_connection(FuturesIo::new(fair_stream::server(stream)), service);
+            .max_header_list_size(server.limits.head_bytes as u32);
+        if account.is_some() {
+            builder
+                .max_concurrent_streams(HTTP2_STREAMS)
+                .initial_stream_window_size(HTTP2_STREAM_WINDOW)
+                .initial_connection_window_size(HTTP2_CONNECTION_WINDOW)
+                .max_send_buf_size(HTTP2_SEND_BYTES);
+        }
+        let stream = fair_stream::server(stream, account.cloned());
+        let connection = builder.serve_connection(fair_stream::io(stream), service);
         let mut connection = pin!(connection);
         let ended = future::or(async { connection.as_mut().await.is_ok() }, async {
             shutdown.await;
@@ -234,6 +322,7 @@
         }
         return;
     }
+    let stream = fair_stream::server(stream, account.cloned());
     let connection = http1::Builder::new()
         .auto_date_header(server.limits.has_date)
         .timer(SmolTimer::new())
@@ -241,7 +330,7 @@
         .max_buf_size(server.limits.head_bytes)
         .max_headers(server.limits.head_fields)
         .half_close(false)
-        .serve_connection(FuturesIo::new(fair_stream::server(stream)), service);
+        .serve_connection(fair_stream::io(stream), service);
     let mut connection = pin!(connection);
     let ended = future::or(
         async {
--- a/src/kernel/pool.rs
+++ b/src/kernel/pool.rs
@@ -43,7 +43,6 @@
     },
     Request, Response,
 };
-use smol_hyper::rt::FuturesIo;
 use std::{
     io,
     net::SocketAddr,
@@ -134,6 +133,9 @@
     pub ack_timeout: Option<Duration>,
     /// Time limit for connecting.
     pub connect_timeout: Duration,
+    /// Size of a connection's receive buffer (`SO_RCVBUF`); left to the operating system if there
+    /// is none.
+    pub receive_buffer: Option<usize>,
 }
 
 impl Config {
@@ -144,6 +146,7 @@
             idle_timeout: Duration::MAX,
             ack_timeout: None,
             connect_timeout: Duration::MAX,
+            receive_buffer: None,
         }
     }
 }
@@ -441,10 +444,13 @@
         if let Some(ack_timeout) = self.config.ack_timeout {
             tcp::set_user_timeout(&stream, ack_timeout).map_err(|_| Error::Unreachable)?;
         }
+        if let Some(size) = self.config.receive_buffer {
+            tcp::set_receive_buffer_size(&stream, size).map_err(|_| Error::Unreachable)?;
+        }
         let (stream, meter) = fair_stream::client(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(FuturesIo::new(stream))
+            .handshake(fair_stream::io(stream))
             .await
             .map_err(|_| Error::Unreachable)?;
         self.context.detach(async move {
--- a/src/kernel/tcp.rs
+++ b/src/kernel/tcp.rs
@@ -12,6 +12,8 @@
         socket_with,
         sockopt::{
             set_socket_linger,
+            set_socket_recv_buffer_size,
+            set_socket_send_buffer_size,
             set_tcp_user_timeout,
             socket_error, //
         },
@@ -25,6 +27,7 @@
     net::{
         IpAddr,
         SocketAddr,
+        TcpListener,
         TcpStream, //
     },
     time::Duration,
@@ -69,3 +72,19 @@
 pub fn reset_on_close(stream: &Async<TcpStream>) -> io::Result<()> {
     Ok(set_socket_linger(stream, Some(Duration::ZERO))?)
 }
+
+/// Sets the sizes of the buffers of the connections that a socket accepts (`SO_RCVBUF`,
+/// `SO_SNDBUF`), which otherwise grow up to some megabytes each.
+pub fn set_buffer_sizes(
+    listener: &Async<TcpListener>,
+    receive: usize,
+    send: usize,
+) -> io::Result<()> {
+    set_socket_recv_buffer_size(listener, receive)?;
+    Ok(set_socket_send_buffer_size(listener, send)?)
+}
+
+/// Sets the size of the receive buffer of a connection (`SO_RCVBUF`).
+pub fn set_receive_buffer_size(stream: &Async<TcpStream>, size: usize) -> io::Result<()> {
+    Ok(set_socket_recv_buffer_size(stream, size)?)
+}
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -8,6 +8,7 @@
 use crate::{
     core::{
         manifest::Idempotency,
+        memory_budget::Purpose,
         permit::Outcome,
         rate_limit::{
             self,
@@ -18,11 +19,10 @@
     edge::fields::Fields,
     kernel::{
         http::{
-            full,
             remove_hop_by_hop_fields,
-            Body,
-            BodyError, //
+            Body, //
         },
+        memory::Account,
         pool::{
             self,
             Config,
@@ -30,24 +30,15 @@
             Reuse,
             Terms, //
         },
-        runtime::timeout,
     },
     router::{
         forwarded_body,
+        held_body,
         state::State, //
     },
 };
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
-use http_body_util::BodyExt;
+use bytes::Bytes;
 use hyper::{
-    body::{
-        Body as HttpBody,
-        Frame,
-        SizeHint, //
-    },
     header::{
         HeaderMap,
         HeaderValue,
@@ -60,12 +51,7 @@
     Version, //
 };
 use std::{
-    pin::Pin,
     sync::Arc,
-    task::{
-        Context,
-        Poll, //
-    },
     time::{
         Duration,
         Instant, //
@@ -80,6 +66,9 @@
     idle_timeout: Duration::from_millis(7_500),
     ack_timeout: Some(Duration::from_millis(700)),
     connect_timeout: Duration::from_millis(300),
+    // As much as a link of 200 Mbit/s carries in a round trip of 1.3 ms; otherwise the buffers of
+    // responses that are not read grow up to some megabytes each.
+    receive_buffer: Some(32 * 1024),
 };
 
 /// Longest idle time after which a connection is reused for a request that must not run twice.
@@ -103,6 +92,12 @@
 /// Responses up to this length are buffered completely before they are forwarded.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 * 1024;
 
+/// Bytes that are held beside its beginning for a response that is forwarded while it is received:
+/// the receive buffer of its connection (64 KiB, as the system doubles the size that is set), a read
+/// buffer, a part in the channel and one that waits for the channel (16 KiB each), and what the HTTP
+/// library takes ahead of the caller (at most 16 parts, which together pin that many read buffers).
+const FORWARDING_BYTES: usize = 384 * 1024;
+
 /// Request body.
 pub enum Payload {
     /// The complete body; the request can be sent again.
@@ -315,25 +310,33 @@
 ) -> Completion {
     let (mut parts, mut body) = response.into_parts();
     remove_hop_by_hop_fields(&mut parts.headers);
-    let mut buffer = BytesMut::new();
-    loop {
-        let frame = match timeout(remaining(call.deadline), body.frame()).await {
-            None => return Completion::Late,
-            Some(None) => break,
-            Some(Some(Err(_))) => return Completion::Broken("cut_short"),
-            Some(Some(Ok(frame))) => frame,
-        };
-        if let Ok(data) = frame.into_data() {
-            buffer.extend_from_slice(&data);
-        }
-        if buffer.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            let on_error = log_cut(call, endpoint);
-            let prefix = buffer.freeze();
-            let body = forwarded_body::spawn(&state.context, prefix, body, call.deadline, on_error);
-            return Completion::Answered(Response::from_parts(parts, body));
-        }
+    let account = Account::of(&call.parts.extensions);
+    let terms = held_body::Terms {
+        purpose: Purpose::Response,
+        limit: MAX_BUFFERED_RESPONSE_BYTES,
+        deadline: call.deadline,
+        max_wait: Duration::MAX,
+    };
+    let held = match held_body::read(&account, &mut body, &terms).await {
+        Ok(held) => held,
+        Err(held_body::Error::Late) => return Completion::Late,
+        Err(held_body::Error::CutShort) => return Completion::Broken("cut_short"),
+        Err(held_body::Error::NoMemory) => return Completion::Broken("no_memory"),
+    };
+    if held.is_complete {
+        let body = held_body::whole(held.into_bytes(true));
+        return Completion::Answered(Response::from_parts(parts, body));
     }
-    Completion::Answered(Response::from_parts(parts, full(buffer.freeze())))
+    let span = remaining(call.deadline);
+    let reserved = account.reserve(Purpose::Response, FORWARDING_BYTES, span);
+    let Some(mut reservation) = reserved.await else {
+        return Completion::Broken("no_memory");
+    };
+    reservation.set_held_by_client(true);
+    let on_error = log_cut(call, endpoint);
+    let rest = forwarded_body::spawn(&state.context, body, call.deadline, on_error);
+    let body = held_body::reserved(held.into_bytes(true), Some(rest), Some(reservation));
+    Completion::Answered(Response::from_parts(parts, body))
 }
 
 /// Returns a function that logs why a response was broken off after its head was forwarded.
@@ -358,7 +361,7 @@
 
 fn build_request(call: &Call<'_>, headers: HeaderMap, payload: Payload) -> Request<Body> {
     let body = match payload {
-        Payload::Whole(bytes) => full(bytes),
+        Payload::Whole(bytes) => held_body::whole(bytes),
         Payload::Stream(body) => body,
     };
     let mut request = Request::new(body);
@@ -384,37 +387,3 @@
         Error::Late => "late",
     }
 }
-
-/// A body of which the beginning was already read.
-pub struct Prefixed {
-    /// The part that was already read.
-    pub prefix: Option<Bytes>,
-    /// The remaining body.
-    pub rest: Body,
-}
-
-impl HttpBody for Prefixed {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match self.prefix.take() {
-            Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-            None => Pin::new(&mut self.rest).poll_frame(context),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let length = self.prefix.as_ref().map_or(0, Bytes::len) as u64;
-        let rest = self.rest.size_hint();
-        let mut hint = SizeHint::new();
-        hint.set_lower(rest.lower() + length);
-        if let Some(upper) = rest.upper() {
-            hint.set_upper(upper + length);
-        }
-        hint
-    }
-}
--- a/src/router/forwarded_body.rs
+++ b/src/router/forwarded_body.rs
@@ -59,18 +59,16 @@
 }
 
 struct Forwarded {
-    prefix: Option<Bytes>,
     parts: Pin<Box<Receiver<Part>>>,
     is_ended: bool,
     _reader: Task<()>,
 }
 
-/// Starts to forward a body of which `prefix` was already read.
+/// Starts to forward the rest of a body.
 ///
 /// `on_error` is called if the body does not reach its end by `deadline`.
 pub fn spawn(
     context: &Context,
-    prefix: Bytes,
     rest: pool::Stream,
     deadline: Instant,
     on_error: impl FnOnce(Error) + Send + 'static,
@@ -84,7 +82,6 @@
         }
     });
     let body = Forwarded {
-        prefix: Some(prefix),
         parts: Box::pin(receiver),
         is_ended: false,
         _reader: reader,
@@ -120,9 +117,6 @@
         mut self: Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Some(prefix) = self.prefix.take() {
-            return Poll::Ready(Some(Ok(Frame::data(prefix))));
-        }
         if self.is_ended {
             return Poll::Ready(None);
         }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -14,6 +14,7 @@
 pub mod dispatcher;
 pub mod error_response;
 pub mod forwarded_body;
+pub mod held_body;
 pub mod membership;
 pub mod peer;
 pub mod permit_client;
@@ -27,13 +28,19 @@
 pub mod wire;
 
 use crate::{
+    core::memory_budget,
     kernel::{
         clock,
         error::Error,
         http::{
             self,
             Limits,
-            Listener, //
+            Listener,
+            Memory, //
+        },
+        memory::{
+            self,
+            Budget, //
         },
         plugin,
         runtime::{
@@ -135,10 +142,18 @@
         max_connections: connections as usize,
         has_date: false,
     };
-    let callers = http::bind(
+    let memory_bytes = state.settings.memory_bytes;
+    let caller_memory = state.settings.bounds.caller_memory;
+    let budget = Budget::new(memory_budget::Limits::new(memory_bytes, caller_memory));
+    context.detach(memory::supervise(Arc::clone(&budget)));
+    let callers = http::bind_metered(
         context,
         listen.callers,
         caller_limits,
+        Some(Memory {
+            budget: Arc::clone(&budget),
+            socket_buffers: memory_budget::socket_buffers(memory_bytes, connections),
+        }),
         http::with_state(&state, request::handle),
     )?;
     context.detach(datagram::run(Arc::clone(&state)));
@@ -147,7 +162,7 @@
     context.detach(dispatcher::run(Arc::clone(&state)));
     context.detach(permit_client::run(Arc::clone(&state)));
     context.detach(planner::run(Arc::clone(&state)));
-    context.detach(summarize(Arc::clone(&state)));
+    context.detach(summarize(Arc::clone(&state), budget));
     log::info!(
         "event=started name={} run={run} zone={} callers={}",
         state.settings.name,
@@ -162,9 +177,10 @@
 }
 
 /// Logs a summary periodically and keeps idle connections to endpoints within their limit.
-async fn summarize(state: Arc<State>) {
+async fn summarize(state: Arc<State>, budget: Arc<Budget>) {
     loop {
         sleep(SUMMARY_INTERVAL).await;
+        budget.record();
         let counters = &state.counters;
         let view = state.view();
         log::info!(
--- a/src/router/peer.rs
+++ b/src/router/peer.rs
@@ -56,6 +56,7 @@
     idle_timeout: Duration::from_secs(5),
     ack_timeout: Some(RESPONSE_TIMEOUT),
     connect_timeout: RESPONSE_TIMEOUT,
+    receive_buffer: None,
 };
 
 /// How long a relay delays the response to a poll while nothing changes.
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -13,6 +13,7 @@
             Manifest,
             Route, //
         },
+        memory_budget::Purpose,
         permit::{
             Outcome,
             Request as PermitRequest, //
@@ -25,6 +26,7 @@
             remove_hop_by_hop_fields,
             Body, //
         },
+        memory::Account,
         runtime::timeout, //
     },
     router::{
@@ -32,20 +34,17 @@
             self,
             remaining,
             Call,
-            Completion, //
-            Payload,
-            Prefixed,
+            Completion,
+            Payload, //
         },
         dispatcher,
         error_response::Error,
+        held_body,
         permit_client,
         state::State, //
     },
 };
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use futures_lite::future;
 use http_body_util::BodyExt;
 use hyper::{
@@ -89,6 +88,20 @@
 /// Longest body that is buffered so that the request can be sent again.
 const MAX_BUFFERED_BODY_BYTES: usize = 1024 * 1024;
 
+/// Longest time for which a request body waits for memory, unread.
+const MAX_MEMORY_WAIT: Duration = Duration::from_secs(1);
+
+/// Retry delay suggested to a caller that got no memory: stalled clients are closed after half a
+/// second.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Bytes that are held for a request body that is forwarded while it is received: what the HTTP
+/// library reads ahead of it and takes ahead of the endpoint.
+const STREAMING_BYTES: usize = 128 * 1024;
+
+/// Bytes that a request is taken to hold beside its head and bodies.
+const REQUEST_BYTES: usize = 4 * 1024;
+
 /// Time subtracted from the response time goal for the network between caller and router.
 const CALLER_ROUND_TRIP: Duration = Duration::from_millis(16);
 
@@ -119,16 +132,22 @@
     // request cannot be told from a valid one. The connection is closed after the response, so
     // that nothing smuggled behind the request is read.
     let closes_connection = request.headers().contains_key(TRANSFER_ENCODING) || state.is_leaving();
+    let account = Account::of(request.extensions());
+    let head = account.try_reserve(Purpose::Small, head_bytes(&request));
     let mut guard = Guard {
         state: Arc::clone(&state),
         is_answered: false,
     };
     let id = request.headers().get(&state.fields.request_id).cloned();
     let mut is_routed = false;
-    let result = process(&state, request, began, request_number, &mut is_routed).await;
+    let result = match &head {
+        Some(_) => process(&state, request, began, request_number, &mut is_routed).await,
+        None => Err(Error::NotRun("memory", MEMORY_RETRY_DELAY)),
+    };
     if let (Err(error), false) = (&result, is_routed) {
         log_unrouted(id.as_ref(), error);
     }
+    let result_name = result.as_ref().err().map(|error| error.name());
     let mut response = match result {
         Ok(response) => {
             state.counters.answered.fetch_add(1, Ordering::Relaxed);
@@ -146,7 +165,9 @@
         }
     };
     guard.is_answered = true;
-    if closes_connection {
+    // What is left of a body that got no memory is not read.
+    let is_out_of_memory = matches!(result_name, Some("memory"));
+    if closes_connection || is_out_of_memory {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -202,7 +223,8 @@
     parts.headers.remove(EXPECT);
     let limit = Duration::from_millis(deadline_ms.min(route.timeout_ms));
     let deadline = began + limit;
-    let payload = read_payload(body, deadline).await?;
+    let account = Account::of(&parts.extensions);
+    let payload = read_payload(&account, body, deadline).await?;
     let class = dispatcher::class(route.repeat, route.rank, route.goal_ms);
     let waited = state.min_wait(class, deadline_ms);
     let goal_time = Duration::from_millis(route.goal_ms).saturating_sub(waited + CALLER_ROUND_TRIP);
@@ -602,35 +624,52 @@
 }
 
 /// Reads a request body, completely unless it is too long to be buffered.
-async fn read_payload(body: Incoming, deadline: Instant) -> Result<Payload, Error> {
+async fn read_payload(
+    account: &Arc<Account>,
+    mut body: Incoming,
+    deadline: Instant,
+) -> Result<Payload, Error> {
     if body.is_end_stream() {
         return Ok(Payload::Whole(Bytes::new()));
     }
     let is_long = body.size_hint().lower() > MAX_BUFFERED_BODY_BYTES as u64;
-    if is_long {
-        return Ok(Payload::Stream(body.map_err(Into::into).boxed_unsync()));
-    }
-    let mut body = body;
-    let mut buffer = BytesMut::new();
-    loop {
-        let frame = timeout(remaining(deadline), body.frame()).await;
-        let frame = match frame {
-            None => return Err(Error::NotRun("body_late", MIN_ATTEMPT_TIME)),
-            Some(None) => return Ok(Payload::Whole(buffer.freeze())),
-            Some(Some(Err(_))) => return Err(Error::Malformed),
-            Some(Some(Ok(frame))) => frame,
+    let beginning = if is_long {
+        Bytes::new()
+    } else {
+        let terms = held_body::Terms {
+            purpose: Purpose::Body,
+            limit: MAX_BUFFERED_BODY_BYTES,
+            deadline,
+            max_wait: MAX_MEMORY_WAIT,
         };
-        if let Ok(data) = frame.into_data() {
-            buffer.extend_from_slice(&data);
-        }
-        if buffer.len() > MAX_BUFFERED_BODY_BYTES {
-            let body = Prefixed {
-                prefix: Some(buffer.freeze()),
-                rest: body.map_err(Into::into).boxed_unsync(),
-            };
-            return Ok(Payload::Stream(body.boxed_unsync()));
+        let held = held_body::read(account, &mut body, &terms).await;
+        let held = held.map_err(|error| match error {
+            held_body::Error::Late => Error::NotRun("body_late", MIN_ATTEMPT_TIME),
+            held_body::Error::CutShort => Error::Malformed,
+            held_body::Error::NoMemory => Error::NotRun("memory", MEMORY_RETRY_DELAY),
+        })?;
+        if held.is_complete {
+            return Ok(Payload::Whole(held.into_bytes(false)));
         }
-    }
+        held.into_bytes(true)
+    };
+    let span = MAX_MEMORY_WAIT.min(remaining(deadline));
+    let reserved = account.reserve(Purpose::Body, STREAMING_BYTES, span).await;
+    let mut reservation = reserved.ok_or(Error::NotRun("memory", MEMORY_RETRY_DELAY))?;
+    reservation.set_held_by_client(true);
+    let rest = body.map_err(Into::into).boxed_unsync();
+    let body = held_body::reserved(beginning, Some(rest), Some(reservation));
+    Ok(Payload::Stream(body))
+}
+
+/// Estimates the memory that the head of a request takes while the request is handled.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    let fields = request.headers().iter();
+    let length: usize = fields
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    // Some fields are copied for each attempt.
+    REQUEST_BYTES + 2 * length
 }
 
 /// Logs the failure of a request that was not matched to a service or not read to its end.
--- a/src/router/settings.rs
+++ b/src/router/settings.rs
@@ -25,7 +25,7 @@
     pub datagrams: SocketAddr,
 }
 
-/// Time limits and retry limit that the platform's users set.
+/// Limits that the platform's users set.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
     /// Time from the signal to stop until the process is killed.
@@ -36,6 +36,9 @@
     pub max_lease_duration: Duration,
     /// Limit on repeated requests.
     pub retry_limit: Limit,
+    /// Limit on the memory that is held for callers, in bytes; derived from the memory limit of
+    /// the process if there is none.
+    pub caller_memory: Option<u64>,
 }
 
 impl Default for Bounds {
@@ -49,6 +52,7 @@
                 slack: 0,
                 window: Duration::from_secs(10),
             },
+            caller_memory: None,
         }
     }
 }
