--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod keyed_limits;
 mod keyed_load;
 mod log_trace;
+mod memory_budget;
 mod overload;
 mod ownership;
 mod ownership_simulation;
