Balance keys by rates over several seconds

Cause: the rates of keys are averages over 1.5 s. With six requests per second at each owner they give its load only to within a quarter, so 95 owners were never balanced and keys moved after noise for ever. A move also took the difference of weighted loads for one of plain loads: between owners of a capacity of six per second it moved twice the rate that makes them equal, and the keys moved back.

Change: rates are averages over 8 s, except for keys and blocks of 256 keys whose last 1.5 s differ by more than noise. A move between endpoints that are not overloaded needs a difference above noise. The rate of a move uses the weights. The typical capacity in the weights is the mean of the endpoints, 25 per second at most, so the bounds on loads mean the same for slower ones.

New tests: a_move_makes_the_loads_of_slow_endpoints_equal and random_arrivals_of_a_steady_load_move_few_keys fail on the code before (all of the load moved; 1,280 moves). keys_that_become_hot_are_distributed_within_ two_seconds passes on both and guards the new rates.

--- a/src/core/rebalance.rs
+++ b/src/core/rebalance.rs
@@ -18,9 +18,23 @@
 /// Number of keys of a service.
 pub const KEY_COUNT: usize = 65_536;
 
-/// Time constant of the exponentially decaying request rates.
+/// Time constant of the exponentially decaying request rates that follow a change at once.
 const RATE_TIME_CONSTANT_S: f64 = 1.5;
 
+/// Time constant of the rates that are used otherwise. An owner of two slots gets some six
+/// requests per second, so 1.5 s give its load only to within a quarter, and keys were moved
+/// after that noise for ever.
+const LASTING_TIME_CONSTANT_S: f64 = 8.0;
+
+/// Time after which there are lasting rates.
+const MIN_LASTING_S: f64 = 3.0;
+
+/// Adjacent keys whose rate changes together.
+const BLOCK_KEYS: usize = 256;
+
+/// Number of standard deviations above which a difference is not taken for noise.
+const NOISE_FACTOR: f64 = 3.0;
+
 /// Weighted load below which an endpoint gives up no keys to balance the load.
 const MIN_SOURCE_LOAD: f64 = 0.4;
 
@@ -39,7 +53,7 @@
 /// Smallest number of slices in the initial partition.
 const MIN_INITIAL_SLICES: usize = 64;
 
-/// Capacity of a typical endpoint.
+/// Largest capacity that a typical endpoint is taken to have.
 ///
 /// The weighted load of a slower endpoint is higher than its share of capacity
 /// in use, and that of a faster one is lower.
@@ -52,16 +66,23 @@
 const MAX_COLD_LOAD: f64 = 0.02;
 
 /// Exponentially decaying request rate of each key.
+///
+/// The rate is an average over several seconds, except where the last requests, of a key or of
+/// a block of keys, differ from it by more than noise.
 #[derive(Clone, Debug)]
 pub struct Rates {
     counts: Vec<f32>,
+    lasting_counts: Vec<f32>,
     prefix_sums: Vec<f64>,
+    elapsed_s: f64,
 }
 
 impl Default for Rates {
     fn default() -> Self {
         Self {
             counts: vec![0.0; KEY_COUNT],
+            lasting_counts: vec![0.0; KEY_COUNT],
+            elapsed_s: 0.0,
             prefix_sums: vec![0.0; KEY_COUNT + 1],
         }
     }
@@ -71,22 +92,67 @@
     /// Counts one request for a key.
     pub fn record(&mut self, key: u16) {
         self.counts[usize::from(key)] += 1.0;
+        self.lasting_counts[usize::from(key)] += 1.0;
     }
 
     /// Decays all counts by `seconds` and recalculates the rates.
     pub fn decay(&mut self, seconds: f64) {
-        let factor = (-seconds / RATE_TIME_CONSTANT_S).exp() as f32;
+        self.elapsed_s += seconds;
+        for (counts, time_constant_s) in [
+            (&mut self.counts, RATE_TIME_CONSTANT_S),
+            (&mut self.lasting_counts, LASTING_TIME_CONSTANT_S),
+        ] {
+            let factor = (-seconds / time_constant_s).exp() as f32;
+            for count in counts {
+                *count *= factor;
+                if *count < 1e-3 {
+                    *count = 0.0;
+                }
+            }
+        }
         let mut sum = 0.0;
-        for (index, count) in self.counts.iter_mut().enumerate() {
-            *count *= factor;
-            if *count < 1e-3 {
-                *count = 0.0;
+        for block in (0..KEY_COUNT).step_by(BLOCK_KEYS) {
+            let keys = block..block + BLOCK_KEYS;
+            let total = |counts: &[f32]| counts[keys.clone()].iter().sum::<f32>();
+            let counts = (total(&self.counts), total(&self.lasting_counts));
+            let is_block_changed = self.is_changed(counts);
+            for key in keys.clone() {
+                let counts = (self.counts[key], self.lasting_counts[key]);
+                let rate = match is_block_changed || self.is_changed(counts) {
+                    true => f64::from(counts.0) / RATE_TIME_CONSTANT_S,
+                    false => f64::from(counts.1) / self.lasting_window_s(),
+                };
+                sum += rate;
+                self.prefix_sums[key + 1] = sum;
             }
-            sum += f64::from(*count) / RATE_TIME_CONSTANT_S;
-            self.prefix_sums[index + 1] = sum;
         }
     }
 
+    /// Returns the time over which lasting counts are collected.
+    fn lasting_window_s(&self) -> f64 {
+        LASTING_TIME_CONSTANT_S * (1.0 - (-self.elapsed_s / LASTING_TIME_CONSTANT_S).exp())
+    }
+
+    /// Tells whether the latest requests differ from those of the last seconds by more than
+    /// noise.
+    fn is_changed(&self, (count, lasting_count): (f32, f32)) -> bool {
+        if self.elapsed_s < MIN_LASTING_S {
+            return true;
+        }
+        let expected = f64::from(lasting_count) * RATE_TIME_CONSTANT_S / self.lasting_window_s();
+        let difference = (f64::from(count) - expected).abs();
+        difference > NOISE_FACTOR * (expected + 1.0).sqrt().min(expected + 1.0)
+    }
+
+    /// Returns the standard deviation of the measured rate of keys that get `rate` requests per
+    /// second, as far as it is known how much of it is noise.
+    fn noise(&self, rate: f64) -> f64 {
+        if self.elapsed_s < MIN_LASTING_S {
+            return 0.0;
+        }
+        (rate.max(0.0) / (2.0 * LASTING_TIME_CONSTANT_S)).sqrt()
+    }
+
     /// Returns the requests per second for the keys `from..=to`.
     pub fn rate(&self, from: u16, to: u16) -> f64 {
         self.prefix_sums[usize::from(to) + 1] - self.prefix_sums[usize::from(from)]
@@ -181,9 +247,9 @@
     /// Returns the load as a fraction of capacity, weighted higher for slow endpoints.
     ///
     /// At the same fraction, requests wait longer at a slow endpoint.
-    fn weighted_load(&self, rate: f64) -> f64 {
+    fn weighted_load(&self, rate: f64, reference: f64) -> f64 {
         let capacity = self.capacity.max(f64::MIN_POSITIVE);
-        rate / capacity * (REFERENCE_CAPACITY_PER_S / capacity).powf(SLOWNESS_EXPONENT)
+        rate / capacity * (reference / capacity).powf(SLOWNESS_EXPONENT)
     }
 
     fn target_capacity(&self) -> f64 {
@@ -195,11 +261,20 @@
     }
 }
 
+/// Returns the capacity of a typical endpoint.
+fn reference_capacity(endpoints: &[Endpoint]) -> f64 {
+    let targets = endpoints.iter().filter(|endpoint| endpoint.is_target);
+    let count = targets.clone().count().max(1);
+    let mean = targets.map(|endpoint| endpoint.capacity).sum::<f64>() / count as f64;
+    mean.min(REFERENCE_CAPACITY_PER_S)
+}
+
 /// Returns the target with the lowest load after adding `rate` to it.
 pub fn least_loaded(endpoints: &[Endpoint], loads: &[f64], rate: f64) -> Option<usize> {
     let targets = (0..endpoints.len()).filter(|&index| endpoints[index].is_target);
+    let reference = reference_capacity(endpoints);
     targets.min_by(|&a, &b| {
-        let load = |index: usize| endpoints[index].weighted_load(loads[index] + rate);
+        let load = |index: usize| endpoints[index].weighted_load(loads[index] + rate, reference);
         load(a).total_cmp(&load(b))
     })
 }
@@ -226,6 +301,7 @@
         slices: slices.to_vec(),
         loads: loads(endpoints, slices, rates),
         moves: Vec::new(),
+        reference: reference_capacity(endpoints),
     };
     rebalancer.fill_empty_endpoints(limit);
     while rebalancer.moves.len() < limit && rebalancer.balance_pair() {}
@@ -241,11 +317,13 @@
     slices: Vec<Slice>,
     loads: Vec<f64>,
     moves: Vec<Move>,
+    /// Capacity of a typical endpoint.
+    reference: f64,
 }
 
 impl Rebalancer<'_> {
     fn load(&self, endpoint: usize) -> f64 {
-        self.endpoints[endpoint].weighted_load(self.loads[endpoint])
+        self.endpoints[endpoint].weighted_load(self.loads[endpoint], self.reference)
     }
 
     fn targets(&self) -> impl Iterator<Item = usize> + '_ {
@@ -317,15 +395,21 @@
             return false;
         };
         let gap = self.load(source) - self.load(target);
-        if source == target || self.load(source) < MIN_SOURCE_LOAD || gap < MIN_LOAD_GAP {
+        let noise = |index: usize| {
+            let noise = self.rates.noise(self.loads[index]);
+            self.endpoints[index].weighted_load(noise, self.reference)
+        };
+        // Requests of an overloaded endpoint are refused, so it gives up keys at once.
+        let min_gap = match self.load(source) < 1.0 {
+            true => MIN_LOAD_GAP.max(NOISE_FACTOR * noise(source).hypot(noise(target))),
+            false => MIN_LOAD_GAP,
+        };
+        if source == target || self.load(source) < MIN_SOURCE_LOAD || gap < min_gap {
             return false;
         }
-        let (from_capacity, to_capacity) = (
-            self.endpoints[source].capacity,
-            self.endpoints[target].capacity,
-        );
         // A move of this rate makes both loads equal.
-        let wanted_rate = gap * from_capacity * to_capacity / (from_capacity + to_capacity);
+        let load_per_rate = |index: usize| self.endpoints[index].weighted_load(1.0, self.reference);
+        let wanted_rate = gap / (load_per_rate(source) + load_per_rate(target));
         match self.select_keys(source, wanted_rate) {
             Some((first, last)) => {
                 self.move_keys(first, last, target);
--- a/tests/suite/keyed_limits.rs
+++ b/tests/suite/keyed_limits.rs
@@ -319,6 +319,8 @@
 
     fn plan(&mut self) {
         let now = self.now;
+        // The claim is read again when no table has been written for some time.
+        self.planner.confirm_claim(now);
         let dispatcher = &self.dispatcher;
         let capacity = |id: &str| dispatcher.capacity(id, now);
         let actions = self
--- a/tests/suite/rebalance.rs
+++ b/tests/suite/rebalance.rs
@@ -1,6 +1,11 @@
 //! Load-based placement of keys, compared with the initial partition and the optimum.
 
 use proptest::prelude::*;
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
 use rhubarbpick::core::rebalance::{
     self,
     Endpoint,
@@ -9,6 +14,7 @@
     Slice,
     KEY_COUNT, //
 };
+use std::collections::BTreeSet;
 
 /// Number of rebalancing rounds in two seconds.
 const ROUNDS: usize = 7;
@@ -172,6 +178,87 @@
     assert!(move_count <= 2, "{move_count} moves of a balanced load");
 }
 
+#[test]
+fn a_move_makes_the_loads_of_slow_endpoints_equal() {
+    // Guards against a move of twice the rate that makes loads equal, after which the same keys
+    // moved back: the difference of weighted loads was taken for one of plain loads.
+    let endpoints = endpoints(&[6.0, 6.0]);
+    let mut slices = rebalance::partition(&endpoints);
+    // All requests are for the first slice.
+    let rates = rates(|key| match key < 1_024 && key % 32 == 0 {
+        true => 0.5,
+        false => 0.0,
+    });
+    let total = rates.rate(0, u16::MAX);
+    let moves = rebalance::plan_moves(&endpoints, &slices, &rates, 1);
+    apply_moves(&mut slices, &moves);
+    let loads = rebalance::loads(&endpoints, &slices, &rates);
+    let share = loads[1] / total;
+    assert!((0.4..=0.6).contains(&share), "{loads:?}");
+}
+
+#[test]
+fn random_arrivals_of_a_steady_load_move_few_keys() {
+    // Guards against moves after noise: 95 owners that get six requests per second each were
+    // never balanced for long, and a key is not served while it moves.
+    const OWNERS: usize = 95;
+    const RATE_PER_S: f64 = 541.0;
+    let endpoints = endpoints(&[9.0; OWNERS]);
+    let mut slices = rebalance::partition(&endpoints);
+    let mut rates = Rates::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut move_count = 0;
+    for round in 0..80 {
+        for _ in 0..(RATE_PER_S / 4.0) as usize {
+            rates.record(rng.random());
+        }
+        rates.decay(0.25);
+        if round >= 40 {
+            let moves = rebalance::plan_moves(&endpoints, &slices, &rates, max_moves(&endpoints));
+            move_count += moves.len();
+            apply_moves(&mut slices, &moves);
+        }
+    }
+    // One move per owner in ten seconds.
+    assert!(move_count <= OWNERS, "{move_count} moves");
+}
+
+#[test]
+fn keys_that_become_hot_are_distributed_within_two_seconds() {
+    // Guards against rates that are averaged over many seconds: 200 adjacent keys get almost
+    // half of all requests, beyond the capacity of their owners.
+    const OWNERS: usize = 95;
+    let endpoints = endpoints(&[9.0; OWNERS]);
+    let mut slices = rebalance::partition(&endpoints);
+    let mut rates = Rates::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..40 {
+        for _ in 0..135 {
+            rates.record(rng.random());
+        }
+        rates.decay(0.25);
+    }
+    for _ in 0..8 {
+        for number in 0..135 {
+            let key = match number % 20 < 9 {
+                true => rng.random_range(30_000..30_200),
+                false => rng.random(),
+            };
+            rates.record(key);
+        }
+        rates.decay(0.25);
+        let moves = rebalance::plan_moves(&endpoints, &slices, &rates, max_moves(&endpoints));
+        apply_moves(&mut slices, &moves);
+    }
+    let owners: BTreeSet<usize> = slices
+        .iter()
+        .filter(|slice| slice.to >= 30_000 && slice.from < 30_200)
+        .map(|slice| slice.endpoint)
+        .collect();
+    // They get 243 requests per second, and an owner serves 9.
+    assert!(owners.len() >= 27, "{} owners", owners.len());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
--- a/tests/suite/support/keyed_load.rs
+++ b/tests/suite/support/keyed_load.rs
@@ -517,6 +517,8 @@
 
     fn plan(&mut self) {
         let now = self.now;
+        // The store is always reachable.
+        self.planner.confirm_claim(now);
         let Self {
             dispatcher,
             planner,
