Limit the requests that cold endpoints get

Cause: cold endpoints were only counted as slower; nothing bounded their requests.

Change: a token bucket for each cold endpoint, at dispatchers and at VMs that assign locally, for services whose configuration names a rate. What is known of cold endpoints comes from entries, responses, failed connections and ended evacuations, and is exchanged with permits. The rate is part of admission and of the capacity that the planner uses.

--- a/src/core/manifest.rs
+++ b/src/core/manifest.rs
@@ -26,6 +26,12 @@
         pub is_keyed: bool,
         /// Maximum number of connections per endpoint, summed over all VMs.
         pub connections: u32,
+        /// How long an endpoint is cold after its start, in milliseconds.
+        #[serde(default)]
+        pub cold_ms: u64,
+        /// Requests per 1,000 seconds that a cold endpoint handles, if that is limited.
+        #[serde(default)]
+        pub cold_per_1000_s: Option<u64>,
     }
 
     /// A virtual host and its routes.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! are rare on a real network.
 
 pub mod caller_wait;
+pub mod cold;
 pub mod dispatch;
 pub mod evacuation;
 pub mod intent;
--- a/src/core/permit/mod.rs
+++ b/src/core/permit/mod.rs
@@ -29,6 +29,7 @@
 pub mod refusals;
 
 use crate::core::{
+    cold,
     permit::{endpoint::State, load::Average, refusals::History},
     rate_limit::{
         self,
@@ -216,6 +217,8 @@
     pub is_return: bool,
     /// What the endpoint said last about its rate limit.
     pub rate_limit: Option<Report>,
+    /// What is known of its cold time.
+    pub cold: Option<cold::Report>,
 }
 
 /// Result of a dispatch pass.
@@ -269,6 +272,7 @@
     retry_limiter: Limiter,
     refusals: History,
     rate_limits: Limits,
+    cold: cold::Endpoints,
     is_primary: bool,
     offered_load: Average,
     on_time_load: Average,
@@ -286,6 +290,7 @@
             retry_limiter: Limiter::new(limit, now),
             refusals: History::default(),
             rate_limits: Limits::new(rate_limit::dispatcher_share(false, 0, 0), 0.0),
+            cold: cold::Endpoints::new(rate_limit::dispatcher_share(false, 0, 0), 0.0),
             is_primary: false,
             offered_load: Average::default(),
             on_time_load: Average::default(),
@@ -351,10 +356,10 @@
     }
 
     /// Returns how many requests of mean service time an endpoint serves at a time: as many as
-    /// its slots and its rate limit allow.
+    /// its slots and its rate allow.
     fn parallelism(&self, endpoint: &State, now: Instant) -> f64 {
         let by_slots = endpoint.slots as f64 / endpoint.effective_slowness(now);
-        let rate = self.rate_limits.rate(&endpoint.id);
+        let rate = self.max_rate(&endpoint.id, now);
         rate.map_or(by_slots, |rate| {
             by_slots.min(rate * self.overall_mean_us() / 1e6)
         })
--- a/src/core/permit/placement.rs
+++ b/src/core/permit/placement.rs
@@ -90,6 +90,7 @@
                 expected: Duration::from_micros(expected_us as u64),
                 is_return: waiter.request.is_return,
                 rate_limit: self.rate_limit(&self.endpoints[endpoint].id, now),
+                cold: self.cold(&self.endpoints[endpoint].id, now),
             });
         }
         decisions
@@ -210,13 +211,13 @@
     /// Tells whether an endpoint may get another request: it has fewer than `max_permits`, and
     /// its rate limit allows one.
     pub(super) fn has_room(&self, endpoint: &State, max_permits: usize, now: Instant) -> bool {
-        endpoint.permits.len() < max_permits
-            && self.rate_limits.wait(&endpoint.id, 0, now).is_zero()
+        endpoint.permits.len() < max_permits && self.rate_wait_us(endpoint, 0, now) == 0.0
     }
 
     pub(super) fn assign(&mut self, index: usize, waiter: &Waiter, now: Instant) {
         let endpoint = &mut self.endpoints[index];
         self.rate_limits.try_take(&endpoint.id, now);
+        self.cold.try_take(&endpoint.id, now);
         endpoint.last_assigned = now;
         endpoint.permits.push(Permit {
             id: waiter.id,
--- a/src/edge/fields.rs
+++ b/src/edge/fields.rs
@@ -20,6 +20,8 @@
     pub not_run: HeaderName,
     /// Most requests per second that the endpoint that sent the response takes from all VMs.
     pub rate_limit: HeaderName,
+    /// Time for which the endpoint that sent the response stays cold, in milliseconds.
+    pub cold_left: HeaderName,
     /// Key of the request.
     pub key: HeaderName,
 }
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -107,6 +107,13 @@
 /// Reason for not sending a request to an endpoint in an evacuated zone.
 const EVACUATED: &str = "evacuated";
 
+/// Reason for not sending a request to a cold endpoint after a long wait for a connection.
+const COLD: &str = "cold";
+
+/// Longest time from a permit to the sending of its request to a cold endpoint. With the time that
+/// a datagram and the opening of a connection take, requests are in transit for up to 0.5 s.
+const MAX_COLD_PERMIT_AGE: Duration = Duration::from_millis(150);
+
 /// Request body.
 pub enum Payload {
     /// The complete body; the request can be sent again.
@@ -141,7 +148,7 @@
             Self::Answered(_) => Outcome::Answered,
             Self::Shed => Outcome::Shed,
             Self::NotHolder => Outcome::NotHolder,
-            Self::NotSent(reason, _) if *reason == EVACUATED => Outcome::Dropped,
+            Self::NotSent(reason, _) if [EVACUATED, COLD].contains(reason) => Outcome::Dropped,
             Self::NotSent(..) => Outcome::Unreachable,
             Self::Broken(_) => Outcome::Failed,
             Self::Silent => Outcome::Silent,
@@ -184,19 +191,22 @@
         return Completion::NotSent("identity", payload);
     };
     let request = build_request(call, headers, payload);
+    let began = Instant::now();
     let pool = state.endpoints.get(endpoint.address);
     let Some(permit) = pool.reserve(remaining(call.deadline)).await else {
         let payload = buffered.map_or_else(|| Payload::Stream(request.into_body()), Payload::Whole);
         return Completion::NotSent("connections", payload);
     };
     // The wait for a connection may have been long.
-    if state
+    let is_evacuated = state
         .view()
         .evacuations
-        .is_closed(&endpoint.zone, clock::now())
-    {
+        .is_closed(&endpoint.zone, clock::now());
+    let is_overdue = began.elapsed() > MAX_COLD_PERMIT_AGE && state.is_cold(endpoint);
+    if is_evacuated || is_overdue {
         let payload = buffered.map_or_else(|| Payload::Stream(request.into_body()), Payload::Whole);
-        return Completion::NotSent(EVACUATED, payload);
+        let reason = if is_evacuated { EVACUATED } else { COLD };
+        return Completion::NotSent(reason, payload);
     }
     let has_unreliable_connections = state.has_unreliable_connections(call.service);
     let max_idle = match (call.repeat.allows_repeat(), has_unreliable_connections) {
@@ -225,6 +235,13 @@
             if rejected.is_reused && matches!(rejected.error, Error::Broken) {
                 state.mark_connections_unreliable(call.service);
             }
+            let is_lost = match rejected.error {
+                Error::Refused | Error::Unreachable | Error::Silent => true,
+                Error::Exhausted | Error::Broken | Error::Late => false,
+            };
+            if is_lost {
+                state.on_endpoint_unreachable(endpoint);
+            }
             let reason = failure_name(&rejected.error);
             return match (rejected.unsent, rejected.error) {
                 (Some(request), _) => {
@@ -274,6 +291,7 @@
     }
     if is_matching {
         record_rate_limit(state, endpoint, &response);
+        record_cold(state, endpoint, &response);
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Completion::NotHolder;
@@ -320,6 +338,21 @@
     state.merge_rate_limit(&endpoint.id, report);
 }
 
+/// Records that an endpoint responded, and for how long it says that it stays cold, if it does.
+fn record_cold(state: &State, endpoint: &Endpoint, response: &Response<pool::Stream>) {
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        // Another endpoint may have sent it.
+        return;
+    }
+    let said = response.headers().get(&state.fields.cold_left);
+    let millis = said.map(|said| said.to_str().ok()?.trim().parse::<u64>().ok());
+    if millis == Some(None) {
+        log::warn!("event=cold_unreadable endpoint={}", endpoint.id);
+    }
+    let said = millis.flatten().map(Duration::from_millis);
+    state.on_endpoint_response(endpoint, said);
+}
+
 /// Reads the response body, completely if it is short.
 async fn read_body(
     state: &State,
--- a/src/router/datagram.rs
+++ b/src/router/datagram.rs
@@ -127,7 +127,11 @@
             outcome,
             took_us,
             rate_limit,
-        } => dispatcher::complete(state, from, number, &service, outcome, took_us, rate_limit),
+            cold,
+        } => {
+            let known = (rate_limit, cold);
+            dispatcher::complete(state, from, number, &service, outcome, took_us, known)
+        }
         Datagram::OpenPermits { service, numbers } => {
             dispatcher::reconcile(state, from, &service, &numbers)
         }
--- a/src/router/dispatcher.rs
+++ b/src/router/dispatcher.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     core::{
+        cold,
         ownership::{
             Planned,
             Planner,
@@ -98,7 +99,7 @@
 
 impl Inner {
     /// Replaces the view and updates the dispatcher's endpoints.
-    pub fn set_view(&mut self, service: &str, view: &Arc<View>, now: Instant) {
+    pub fn set_view(&mut self, state: &State, service: &str, view: &Arc<View>, now: Instant) {
         if Arc::ptr_eq(&self.view, view) {
             return;
         }
@@ -110,10 +111,28 @@
         let evacuations = &view.evacuations;
         self.dispatcher
             .set_evacuated(|zone| evacuations.contains(zone));
+        self.merge_cold(state, service, now);
         // Waiting requests of an evacuated service are refused at once.
         self.is_dispatch_due |= !evacuations.is_empty();
     }
 
+    /// Passes what this VM knows of cold endpoints to the dispatcher.
+    fn merge_cold(&mut self, state: &State, service: &str, now: Instant) {
+        let view = Arc::clone(&self.view);
+        let Some(rule) = state.cold_rule(&view, service) else {
+            self.dispatcher.clear_cold();
+            return;
+        };
+        let known = state.cold.lock().unwrap();
+        for entry in view.endpoints_of(service) {
+            let id = &entry.endpoint.id;
+            let reports = [Some(entry.cold.report(now)), known.report(id, now)];
+            for report in reports.into_iter().flatten() {
+                self.dispatcher.merge_cold(id, report, rule, now);
+            }
+        }
+    }
+
     /// Returns what this process may have leased as planner, if anything.
     pub fn planned(&self, now: Instant) -> Option<Planned> {
         let planner = self.planner.as_ref();
@@ -131,6 +150,8 @@
         let reached = members.filter(|member| state.is_usable(member)).count();
         self.dispatcher
             .set_role(is_primary, reached, view.members.len(), now);
+        self.merge_cold(state, service, now);
+        let view = &self.view;
         let rate_limits = state.rate_limits.lock().unwrap();
         for entry in view.endpoints_of(service) {
             let id = &entry.endpoint.id;
@@ -212,7 +233,7 @@
                 submitted: Vec::new(),
                 is_dispatch_due: false,
             };
-            inner.set_view(service, &state.view(), now);
+            inner.set_view(state, service, &state.view(), now);
             inner.update_role(state, service, now);
             let job = Arc::new(Job {
                 service: service.into(),
@@ -251,17 +272,18 @@
     let id = Id { requester, number };
     let job = job(state, service);
     let mut inner = job.inner.lock().unwrap();
-    inner.set_view(service, &view, now);
+    inner.set_view(state, service, &view, now);
     inner.last_requested = now;
     if let Some(endpoint) = inner.dispatcher.assigned_endpoint(id) {
         let rate_limit = inner.dispatcher.rate_limit(endpoint, now);
+        let cold = inner.dispatcher.cold(endpoint, now);
         let granted = granted(
             &view,
             number,
             endpoint,
             request.goal_us,
             request.is_return,
-            rate_limit,
+            (rate_limit, cold),
         );
         drop(inner);
         // If the endpoint was removed meanwhile, the permit ends when the requester's list of
@@ -309,7 +331,7 @@
     service: &str,
     outcome: Outcome,
     took_us: u64,
-    rate_limit: Option<wire::RateLimit>,
+    (rate_limit, cold): (Option<wire::RateLimit>, Option<wire::Cold>),
 ) {
     let now = clock::now();
     let id = Id { requester, number };
@@ -319,6 +341,11 @@
         inner.dispatcher.merge_rate_limit(&endpoint, report, now);
         state.merge_rate_limit(&endpoint, report);
     }
+    if let (Some(cold), Some(rule)) = (cold, state.cold_rule(&state.view(), service)) {
+        let wire::Cold { endpoint, report } = cold;
+        inner.dispatcher.merge_cold(&endpoint, report, rule, now);
+        state.merge_cold(&endpoint, report, rule);
+    }
     if outcome == Outcome::NotHolder {
         let endpoint: Option<Box<str>> = inner.dispatcher.assigned_endpoint(id).map(Into::into);
         if let (Some(planner), Some(endpoint)) = (&mut inner.planner, endpoint) {
@@ -371,7 +398,7 @@
             &assignment.endpoint,
             expected_us,
             assignment.is_return,
-            assignment.rate_limit,
+            (assignment.rate_limit, assignment.cold),
         );
         // The endpoint was removed meanwhile; the next dispatch does not use it.
         let removed = Datagram::Refused {
@@ -397,7 +424,7 @@
     endpoint: &str,
     expected_us: u64,
     is_return: bool,
-    rate_limit: Option<Report>,
+    (rate_limit, cold): (Option<Report>, Option<cold::Report>),
 ) -> Option<Datagram> {
     let entry = view.endpoint(endpoint)?;
     Some(Datagram::Granted {
@@ -406,6 +433,7 @@
         expected_us,
         is_return,
         rate_limit,
+        cold,
     })
 }
 
@@ -431,7 +459,7 @@
             let mut inner = job.inner.lock().unwrap();
             let is_sweep = ticks % TICKS_PER_SWEEP == 0;
             if is_sweep {
-                inner.set_view(&job.service, &view, now);
+                inner.set_view(&state, &job.service, &view, now);
                 inner.update_role(&state, &job.service, now);
                 inner.dispatcher.sweep(now);
                 record_metrics(&job.service, &inner, now);
@@ -456,6 +484,10 @@
     let (open, left_out) = inner.dispatcher.endpoint_counts(now);
     gauge("rhubarbpick_open_endpoints", open);
     gauge("rhubarbpick_left_out_endpoints", left_out);
+    gauge(
+        "rhubarbpick_cold_endpoints",
+        inner.dispatcher.cold_count(now),
+    );
     if let Some(planner) = &inner.planner {
         let (ranges, held) = planner.range_counts();
         gauge("rhubarbpick_key_ranges", ranges);
--- a/src/router/permit_client.rs
+++ b/src/router/permit_client.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     core::{
+        cold,
         permit::{
             Outcome,
             Reason,
@@ -36,6 +37,7 @@
             View, //
         },
         wire::{
+            Cold,
             Datagram,
             RateLimit, //
         },
@@ -94,6 +96,7 @@
         expected: Duration,
         is_return: bool,
         rate_limit: Option<Report>,
+        cold: Option<cold::Report>,
     },
     Refused(Refusal),
     NotDispatcher,
@@ -142,6 +145,7 @@
                 expected_us,
                 is_return,
                 rate_limit,
+                cold,
             } => (
                 number,
                 Reply::Granted {
@@ -149,6 +153,7 @@
                     expected: Duration::from_micros(expected_us),
                     is_return,
                     rate_limit,
+                    cold,
                 },
             ),
             Datagram::Refused {
@@ -223,7 +228,8 @@
     pub is_return: bool,
     /// Whether a dispatcher assigned it, rather than this VM itself.
     pub is_dispatched: bool,
-    /// Whether the dispatcher does not know the endpoint's rate limit, which this VM knows.
+    /// Whether the dispatcher does not know that the endpoint is cold or has a rate limit, which
+    /// this VM knows.
     ignores_rate_limit: bool,
     state: Arc<State>,
     service: Box<str>,
@@ -262,6 +268,7 @@
             outcome: self.outcome,
             took_us: self.began.elapsed().as_micros() as u64,
             rate_limit: known_rate_limit(&self.state, &self.endpoint.id),
+            cold: known_cold(&self.state, &self.endpoint.id),
         };
         send(&self.state, self.dispatcher, done);
     }
@@ -277,6 +284,15 @@
     })
 }
 
+/// Returns what this VM knows of the cold time of an endpoint.
+fn known_cold(state: &State, endpoint: &str) -> Option<Cold> {
+    let report = state.cold.lock().unwrap().report(endpoint, clock::now())?;
+    Some(Cold {
+        endpoint: endpoint.into(),
+        report,
+    })
+}
+
 /// Returns whether a dispatcher does not know of a rate limit that this VM knows, given what the
 /// dispatcher knows.
 fn is_rate_limit_unknown(state: &State, endpoint: &str, theirs: Option<Report>) -> bool {
@@ -308,6 +324,7 @@
             outcome: Outcome::Dropped,
             took_us: 0,
             rate_limit: None,
+            cold: None,
         };
         send(&self.state, self.dispatcher, done);
     }
@@ -412,13 +429,19 @@
                     expected,
                     is_return,
                     rate_limit,
+                    cold,
                 } => {
                     guard.is_decided = true;
                     state.permit_client.add_permit(dispatcher, service, number);
-                    let ignores_rate_limit = is_rate_limit_unknown(state, &endpoint.id, rate_limit);
+                    let ignores_rate_limit = is_rate_limit_unknown(state, &endpoint.id, rate_limit)
+                        || state.is_cold_unknown(&endpoint, cold);
                     if let Some(report) = rate_limit {
                         state.merge_rate_limit(&endpoint.id, report);
                     }
+                    let rule = state.cold_rule(&state.view(), service);
+                    if let (Some(report), Some(rule)) = (cold, rule) {
+                        state.merge_cold(&endpoint.id, report, rule);
+                    }
                     return Some(Answer::Granted(Permit {
                         endpoint,
                         expected,
@@ -482,7 +505,7 @@
                 let hash =
                     xxhash_rust::xxh3::xxh3_64_with_seed(endpoint.id.as_bytes(), request.left_us);
                 (
-                    rate_limits.rate(&endpoint.id).is_some(),
+                    rate_limits.rate(&endpoint.id).is_some() || state.is_cold(endpoint),
                     local_count(&endpoint.id),
                     endpoint.zone != request.zone,
                     hash,
@@ -503,7 +526,7 @@
     if local_count(&endpoint.id) >= MAX_LOCAL_PER_ENDPOINT {
         return refused(Reason::Full, QUEUED_RETRY_INTERVAL);
     }
-    if !state.try_take_local_rate(&endpoint.id) {
+    if !state.try_take_local_rate(&endpoint) {
         return refused(Reason::Full, QUEUED_RETRY_INTERVAL);
     }
     match local_permits.binary_search_by(|(id, _)| id.cmp(&endpoint.id)) {
--- a/src/router/planner.rs
+++ b/src/router/planner.rs
@@ -436,7 +436,7 @@
     let now = clock::now();
     let view = state.view();
     let mut inner = job.inner.lock().unwrap();
-    inner.set_view(service, &view, now);
+    inner.set_view(state, service, &view, now);
     let elapsed = now.since(*last_decay);
     if elapsed >= RATE_UPDATE_INTERVAL {
         inner.rates.decay(elapsed.as_secs_f64());
--- a/src/router/settings.rs
+++ b/src/router/settings.rs
@@ -34,6 +34,11 @@
     pub drain_timeout: Duration,
     /// Time after which no request may reach an evacuated zone; `None` if zones are not evacuated.
     pub evacuation_timeout: Option<Duration>,
+    /// Requests that a cold endpoint may get in any one second, as a multiple of the rate that it
+    /// handles.
+    pub cold_rate_factor: f64,
+    /// Requests that it may get beyond that.
+    pub cold_rate_tolerance: f64,
     /// Longest duration of a grant of keys.
     pub max_lease_duration: Duration,
     /// Limit on repeated requests.
@@ -46,6 +51,8 @@
             grace_period: Duration::from_secs(6),
             drain_timeout: Duration::from_secs(2),
             evacuation_timeout: None,
+            cold_rate_factor: 1.5,
+            cold_rate_tolerance: 8.0,
             max_lease_duration: Duration::from_secs(10),
             retry_limit: Limit {
                 ratio_permille: 200,
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -7,6 +7,7 @@
 use crate::{
     core::{
         caller_wait::Estimator,
+        cold,
         evacuation::Zones,
         manifest::{
             Manifest,
@@ -112,6 +113,8 @@
     pub endpoint: Arc<Endpoint>,
     /// When the endpoint has warmed up after its start.
     pub cold_until: Instant,
+    /// What its entry says of its cold time, and the evacuations of its zone.
+    pub cold: cold::Statement,
     /// When the endpoint was first seen to be leaving.
     pub leaving_since: Option<Instant>,
 }
@@ -269,6 +272,8 @@
     caller_wait: Mutex<Estimator>,
     /// Rate limits that endpoints named, as used while this VM reaches no dispatcher.
     pub rate_limits: Mutex<Limits>,
+    /// Cold endpoints, with the buckets that are used while this VM reaches no dispatcher.
+    pub cold: Mutex<cold::Endpoints>,
     unreliable_connections: Mutex<Vec<(Box<str>, Instant)>>,
     is_leaving: AtomicBool,
     is_registered: AtomicBool,
@@ -314,6 +319,7 @@
             store_failed_at: Mutex::new(None),
             caller_wait: Mutex::new(Estimator::default()),
             rate_limits: Mutex::new(Limits::new(rate_limit::local_share(1), rand::random())),
+            cold: Mutex::new(cold::Endpoints::new(cold::local_share(1), rand::random())),
             unreliable_connections: Mutex::new(Vec::new()),
             is_leaving: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
@@ -419,10 +425,95 @@
             let names = objects.map(|object| &*object.name);
             let known_at = *self.evacuations_known_at.lock().unwrap();
             view.evacuations = old.evacuations.update(names, bound, known_at, now);
+            self.mark_cold_after_evacuation(&mut view, old, now);
         }
         view
     }
 
+    /// Marks the endpoints of zones whose evacuation has ended as cold.
+    fn mark_cold_after_evacuation(&self, view: &mut View, old: &View, now: Instant) {
+        let mut endpoints = std::mem::take(&mut view.endpoints);
+        for zone in old.evacuations.missing_in(&view.evacuations) {
+            for entry in &mut endpoints {
+                let rule = self.cold_rule(view, &entry.endpoint.service);
+                if let (Some(rule), true) = (rule, *entry.endpoint.zone == *zone) {
+                    entry.cold = entry.cold.after_evacuation(rule.duration, now);
+                }
+            }
+        }
+        view.endpoints = endpoints;
+    }
+
+    /// Returns the rule of a service for its cold endpoints, if it has one.
+    pub fn cold_rule(&self, view: &View, service: &str) -> Option<cold::Rule> {
+        let service = view.manifest.as_ref()?.service(service)?;
+        let per_s = service.cold_per_1000_s? as f64 / 1_000.0;
+        let duration = Duration::from_millis(service.cold_ms);
+        let bounds = &self.settings.bounds;
+        Some(cold::Rule::new(
+            duration,
+            per_s,
+            bounds.cold_rate_factor,
+            bounds.cold_rate_tolerance,
+        ))
+    }
+
+    /// Stores what is known of the cold time of an endpoint.
+    pub fn merge_cold(&self, endpoint: &str, report: cold::Report, rule: cold::Rule) {
+        let mut cold = self.cold.lock().unwrap();
+        if cold.merge(endpoint, report, rule, clock::now()) {
+            log_cold(endpoint, report.left_us);
+        }
+    }
+
+    /// Records that an endpoint could not be reached.
+    pub fn on_endpoint_unreachable(&self, endpoint: &Endpoint) {
+        if let Some(rule) = self.cold_rule(&self.view(), &endpoint.service) {
+            let mut cold = self.cold.lock().unwrap();
+            if cold.on_unreachable(&endpoint.id, rule, clock::now()) {
+                log_cold(&endpoint.id, u64::MAX);
+            }
+        }
+    }
+
+    /// Records a response of an endpoint, and for how long it says that it stays cold, if it does.
+    pub fn on_endpoint_response(&self, endpoint: &Endpoint, said: Option<Duration>) {
+        if let Some(rule) = self.cold_rule(&self.view(), &endpoint.service) {
+            let mut cold = self.cold.lock().unwrap();
+            if cold.on_response(&endpoint.id, said, rule, clock::now()) {
+                log_cold(&endpoint.id, said.map_or(0, |left| left.as_micros() as u64));
+            }
+        }
+    }
+
+    /// Merges what an endpoint's entry says into what this VM knows of its cold time; returns
+    /// whether its service has a rule for cold endpoints.
+    fn merge_entry_cold(&self, endpoint: &Endpoint) -> bool {
+        let view = self.view();
+        let Some(rule) = self.cold_rule(&view, &endpoint.service) else {
+            return false;
+        };
+        if let Some(entry) = view.endpoint(&endpoint.id) {
+            self.merge_cold(&endpoint.id, entry.cold.report(clock::now()), rule);
+        }
+        true
+    }
+
+    /// Returns whether this VM knows that an endpoint is cold, and a dispatcher that has `theirs`
+    /// does not.
+    pub fn is_cold_unknown(&self, endpoint: &Endpoint, theirs: Option<cold::Report>) -> bool {
+        let has_rule = self.merge_entry_cold(endpoint);
+        let cold = self.cold.lock().unwrap();
+        has_rule && cold.is_news(&endpoint.id, theirs, clock::now())
+    }
+
+    /// Returns whether an endpoint is cold and gets few requests.
+    pub fn is_cold(&self, endpoint: &Endpoint) -> bool {
+        let has_rule = self.merge_entry_cold(endpoint);
+        let cold = self.cold.lock().unwrap();
+        has_rule && cold.rate(&endpoint.id, clock::now()).is_some()
+    }
+
     /// Records that this VM itself read the store at `at`.
     pub fn set_read_at(&self, at: Instant) {
         let mut read_at = self.read_at.lock().unwrap();
@@ -617,10 +708,19 @@
     }
 
     /// Counts a request that this VM sends without asking a dispatcher; returns whether the rate
-    /// limit of the endpoint allows it.
-    pub fn try_take_local_rate(&self, endpoint: &str) -> bool {
+    /// limit of the endpoint allows it, and whether the endpoint is warm enough.
+    pub fn try_take_local_rate(&self, endpoint: &Endpoint) -> bool {
         let now = clock::now();
         let members = self.view().members.len();
+        if self.merge_entry_cold(endpoint) {
+            let mut cold = self.cold.lock().unwrap();
+            cold.set_share(cold::local_share(members), now);
+            cold.restart_after(&endpoint.id, LOCAL_RATE_IDLE, now);
+            if !cold.try_take(&endpoint.id, now) {
+                return false;
+            }
+        }
+        let endpoint = &endpoint.id;
         let mut rate_limits = self.rate_limits.lock().unwrap();
         rate_limits.set_share(rate_limit::local_share(members), now);
         rate_limits.restart_after(endpoint, LOCAL_RATE_IDLE, now);
@@ -694,6 +794,14 @@
     }
 }
 
+fn log_cold(endpoint: &str, left_us: u64) {
+    let left_ms = match left_us {
+        u64::MAX => "unknown".to_owned(),
+        left_us => (left_us / 1_000).to_string(),
+    };
+    log::info!("event=endpoint_cold endpoint={endpoint} left_ms={left_ms}");
+}
+
 /// Logs the evacuations that began or ended between two views.
 fn log_evacuations(old: &View, new: &View) {
     for zone in new.evacuations.missing_in(&old.evacuations) {
@@ -732,6 +840,12 @@
             _ => Entry {
                 endpoint: Arc::clone(endpoint),
                 cold_until: now.after(Duration::from_millis(endpoint.cold_ms)),
+                cold: cold::Statement::of_entry(
+                    known.map(|known| known.cold),
+                    endpoint.cold_ms,
+                    known.is_some_and(|known| known.endpoint.born != endpoint.born),
+                    now,
+                ),
                 leaving_since: endpoint.is_leaving.then(|| {
                     let since = known.and_then(|known| known.leaving_since);
                     since.unwrap_or(now)
--- a/src/router/wire.rs
+++ b/src/router/wire.rs
@@ -8,6 +8,7 @@
 //! names.
 
 use crate::core::{
+    cold,
     mirror::Object,
     ownership::History,
     permit::{
@@ -58,6 +59,9 @@
         is_return: bool,
         /// What the sender knows of the endpoint's rate limit.
         rate_limit: Option<Report>,
+        /// What the sender knows of the endpoint's cold time.
+        #[serde(default)]
+        cold: Option<cold::Report>,
     },
     /// Reply: the request gets no permit.
     #[serde(rename = "No")]
@@ -89,6 +93,9 @@
         took_us: u64,
         /// What the sender knows of the rate limit of the permit's endpoint.
         rate_limit: Option<RateLimit>,
+        /// What the sender knows of the cold time of the permit's endpoint.
+        #[serde(default)]
+        cold: Option<Cold>,
     },
     /// All permits of a service that the sender has open at the receiver.
     #[serde(rename = "Open")]
@@ -147,6 +154,14 @@
         pub report: Report,
     }
 
+    /// What is known of the cold time of an endpoint.
+    pub struct Cold {
+        /// Identity of the endpoint.
+        pub endpoint: Box<str>,
+        /// What is known.
+        pub report: cold::Report,
+    }
+
     /// Requests the changes that the sender does not have.
     pub struct Query {
         /// Identifies the mirror by the run of its process; changes are numbered per mirror.
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod async_log;
 mod budget;
+mod cold;
 mod connection;
 mod copy;
 mod evacuation;
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -1,5 +1,6 @@
 //! Tests of the router process against a fake platform.
 
+mod cold;
 mod evacuation;
 mod faulty_answers;
 mod faulty_endpoint;
@@ -94,6 +95,8 @@
         name: name.into(),
         is_keyed,
         connections: 100,
+        cold_ms: 0,
+        cold_per_1000_s: None,
     };
     let route = |name: &str, repeat, service: &str| Route {
         name: name.into(),
--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -115,6 +115,7 @@
         signature: HeaderName::from_static("x-signature"),
         not_run: HeaderName::from_static("x-not-run"),
         rate_limit: HeaderName::from_static("x-limit"),
+        cold_left: HeaderName::from_static("x-cold"),
         key: HeaderName::from_static("x-key"),
     }
 }
@@ -326,6 +327,7 @@
     /// When each request arrived.
     pub arrivals: Mutex<Vec<Instant>>,
     rate_limit: Mutex<Option<f64>>,
+    cold_until: Mutex<Option<Instant>>,
     mode: Mutex<Mode>,
     is_running: AtomicBool,
     leases: Mutex<Vec<(u16, u16, u64, Instant)>>,
@@ -360,6 +362,7 @@
             runs: Mutex::default(),
             arrivals: Mutex::default(),
             rate_limit: Mutex::default(),
+            cold_until: Mutex::default(),
             mode: Mutex::new(Mode::Normal),
             is_running: AtomicBool::new(true),
             leases: Mutex::default(),
@@ -394,6 +397,11 @@
         *self.rate_limit.lock().unwrap() = per_s;
     }
 
+    /// Makes the endpoint say in its responses that it is cold for `duration` from now on.
+    pub fn set_cold(&self, duration: Duration) {
+        *self.cold_until.lock().unwrap() = Some(Instant::now() + duration);
+    }
+
     /// Stops the endpoint without notice.
     pub fn crash(&self) {
         self.is_running.store(false, Ordering::SeqCst);
@@ -418,6 +426,12 @@
             let value = HeaderValue::from_str(&per_s.to_string()).unwrap();
             response.headers_mut().insert(fields().rate_limit, value);
         }
+        let cold_until = *self.cold_until.lock().unwrap();
+        let left = cold_until.map(|until| until.saturating_duration_since(Instant::now()));
+        if let (Some(left), true) = (left, has_run) {
+            let value = HeaderValue::from(left.as_millis() as u64);
+            response.headers_mut().insert(fields().cold_left, value);
+        }
         response
     }
 
