--- a/src/edge/fields.rs
+++ b/src/edge/fields.rs
@@ -22,6 +22,8 @@
     pub rate_limit: HeaderName,
     /// Load of the endpoint that sent the response.
     pub load: HeaderName,
+    /// Time for which the endpoint that sent the response stays cold, in milliseconds.
+    pub cold_left: HeaderName,
     /// Key of the request.
     pub key: HeaderName,
 }
--- a/src/router/datagram.rs
+++ b/src/router/datagram.rs
@@ -128,9 +128,11 @@
             took_us,
             rate_limit,
             load,
+            cold,
         } => {
             dispatcher::record_load(state, from, number, &service, load);
-            dispatcher::complete(state, from, number, &service, outcome, took_us, rate_limit);
+            let known = (rate_limit, cold);
+            dispatcher::complete(state, from, number, &service, outcome, took_us, known);
         }
         Datagram::OpenPermits { service, numbers } => {
             dispatcher::reconcile(state, from, &service, &numbers)
--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -116,6 +116,7 @@
         not_run: HeaderName::from_static("x-not-run"),
         rate_limit: HeaderName::from_static("x-limit"),
         load: HeaderName::from_static("x-load"),
+        cold_left: HeaderName::from_static("x-cold"),
         key: HeaderName::from_static("x-key"),
     }
 }
@@ -328,6 +329,7 @@
     pub arrivals: Mutex<Vec<Instant>>,
     rate_limit: Mutex<Option<f64>>,
     load: Mutex<Option<Box<str>>>,
+    cold_until: Mutex<Option<Instant>>,
     mode: Mutex<Mode>,
     is_running: AtomicBool,
     leases: Mutex<Vec<(u16, u16, u64, Instant)>>,
@@ -363,6 +365,7 @@
             arrivals: Mutex::default(),
             rate_limit: Mutex::default(),
             load: Mutex::default(),
+            cold_until: Mutex::default(),
             mode: Mutex::new(Mode::Normal),
             is_running: AtomicBool::new(true),
             leases: Mutex::default(),
@@ -403,6 +406,11 @@
         *self.load.lock().unwrap() = load.map(Into::into);
     }
 
+    /// Makes the endpoint say in its responses that it is cold for `duration` from now on.
+    pub fn set_cold(&self, duration: Duration) {
+        *self.cold_until.lock().unwrap() = Some(Instant::now() + duration);
+    }
+
     /// Stops the endpoint without notice.
     pub fn crash(&self) {
         self.is_running.store(false, Ordering::SeqCst);
@@ -431,6 +439,12 @@
             let value = HeaderValue::from_str(load).unwrap();
             response.headers_mut().insert(fields().load, value);
         }
+        let cold_until = *self.cold_until.lock().unwrap();
+        let left = cold_until.map(|until| until.saturating_duration_since(Instant::now()));
+        if let (Some(left), true) = (left, has_run) {
+            let value = HeaderValue::from(left.as_millis() as u64);
+            response.headers_mut().insert(fields().cold_left, value);
+        }
         response
     }
 
