Name endpoints in permits by a hash

Cause: Granted carried the endpoint's whole record, which the receiver nearly always has. Outcomes were sent as names, and lists of open permits as whole numbers of nine bytes each.

Change: GrantedKnown carries a hash of the record's id, service, address and born. The record itself is sent while the dispatcher has had it for less than 1.5 s, and to a VM that asks for it (lacks_record) because it finds none or several under the hash. Outcomes are one byte, lists of open permits hold differences. VMs of earlier versions do not understand GrantedKnown and the lists; requests and completions of theirs are read.

Heartbeats are unchanged.

Seen to fail: vm_without_the_record_of_an_endpoint_asks_for_it without the second request (no permit). Ruled out: a 32-bit hash (9 bytes or 5; two endpoints of a deployment would share one too easily) and a revision (VMs know records under different ones after a restore of the store).

--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -1,6 +1,7 @@
 //! Registration records of endpoints and VMs in the platform's store.
 
 use std::net::SocketAddr;
+use xxhash_rust::xxh3::Xxh3;
 
 /// Maximum length of the texts of a record, in bytes; several fit into a datagram.
 const MAX_TEXT_BYTES: usize = 256;
@@ -44,6 +45,22 @@
 }
 
 impl Endpoint {
+    /// Returns a hash of what identifies the process and its address, by which VMs that know the
+    /// record refer to it.
+    ///
+    /// It does not cover what a process changes in its record while it runs: each VM goes by the
+    /// latest record that it knows.
+    pub fn identity_hash(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        for text in [&self.id, &self.service] {
+            hash.update(&(text.len() as u32).to_le_bytes());
+            hash.update(text.as_bytes());
+        }
+        hash.update(self.address.to_string().as_bytes());
+        hash.update(&self.born.to_le_bytes());
+        hash.digest()
+    }
+
     /// Returns whether requests can be addressed to the endpoint.
     ///
     /// Requests name it in a header field, which can hold visible ASCII characters only, and
--- a/src/router/datagram.rs
+++ b/src/router/datagram.rs
@@ -9,10 +9,12 @@
         },
     },
     router::{
-        dispatcher,
-        planner,
+        dispatcher, planner,
         state::State,
-        wire::Datagram, //
+        wire::{
+            self,
+            Datagram, //
+        },
     },
 };
 use async_io::Async;
@@ -120,7 +122,8 @@
             number,
             service,
             request,
-        } => dispatcher::submit(state, from, number, &service, request),
+            lacks_record,
+        } => dispatcher::submit(state, from, number, &service, request, lacks_record),
         Datagram::Done {
             number,
             service,
@@ -133,7 +136,7 @@
             dispatcher::complete(state, from, number, &service, outcome, took_us, rate_limit);
         }
         Datagram::OpenPermits { service, numbers } => {
-            dispatcher::reconcile(state, from, &service, &numbers)
+            dispatcher::reconcile(state, from, &service, &wire::sums(numbers))
         }
         Datagram::Claimed {
             service,
@@ -149,6 +152,7 @@
         Datagram::Heartbeat(heartbeat) => state.record_heartbeat(from, &heartbeat),
         Datagram::Queued { .. }
         | Datagram::Granted { .. }
+        | Datagram::GrantedKnown { .. }
         | Datagram::Refused { .. }
         | Datagram::NotDispatcher { .. } => state.permit_client.deliver(from, datagram),
     }
--- a/src/router/dispatcher.rs
+++ b/src/router/dispatcher.rs
@@ -63,6 +63,10 @@
 /// Retry delay for a request whose endpoint was removed while the permit was being assigned.
 const REMOVED_ENDPOINT_RETRY: Duration = Duration::from_millis(60);
 
+/// Time after which the other VMs are expected to know a new record of an endpoint. Those that do
+/// not ask for it.
+const RECORD_SPREAD_TIME: Duration = Duration::from_millis(1_500);
+
 /// How long a key without a known owner is expected to stay unowned.
 const DEFAULT_UNOWNED_TIME: Duration = Duration::from_millis(500);
 
@@ -226,6 +230,7 @@
     number: u64,
     service: &str,
     request: Request,
+    lacks_record: bool,
 ) {
     let view = state.view();
     if !state.is_ready() && state.is_starting() {
@@ -256,6 +261,7 @@
             request.goal_us,
             request.is_return,
             rate_limit,
+            lacks_record,
         );
         drop(inner);
         // If the endpoint was removed meanwhile, the permit ends when the requester's list of
@@ -394,6 +400,7 @@
             expected_us,
             assignment.is_return,
             assignment.rate_limit,
+            false,
         );
         // The endpoint was removed meanwhile; the next dispatch does not use it.
         let removed = Datagram::Refused {
@@ -413,6 +420,8 @@
     }
 }
 
+/// Returns the message that grants a permit. It holds the endpoint's record only if the receiver
+/// needs it or may not know it yet.
 fn granted(
     view: &View,
     number: u64,
@@ -420,8 +429,19 @@
     expected_us: u64,
     is_return: bool,
     rate_limit: Option<Report>,
+    needs_record: bool,
 ) -> Option<Datagram> {
     let entry = view.endpoint(endpoint)?;
+    let is_new = clock::now().since(entry.changed_at) < RECORD_SPREAD_TIME;
+    if !needs_record && !is_new {
+        return Some(Datagram::GrantedKnown {
+            number,
+            hash: entry.hash,
+            expected_us,
+            is_return,
+            rate_limit,
+        });
+    }
     Some(Datagram::Granted {
         number,
         endpoint: Box::new((*entry.endpoint).clone()),
--- a/src/router/permit_client.rs
+++ b/src/router/permit_client.rs
@@ -36,6 +36,7 @@
             View, //
         },
         wire::{
+            self,
             Datagram,
             Load,
             RateLimit, //
@@ -96,6 +97,13 @@
         is_return: bool,
         rate_limit: Option<Report>,
     },
+    /// The same, with the hash of the endpoint's record instead of the record.
+    GrantedKnown {
+        hash: u64,
+        expected: Duration,
+        is_return: bool,
+        rate_limit: Option<Report>,
+    },
     Refused(Refusal),
     NotDispatcher,
 }
@@ -152,6 +160,21 @@
                     rate_limit,
                 },
             ),
+            Datagram::GrantedKnown {
+                number,
+                hash,
+                expected_us,
+                is_return,
+                rate_limit,
+            } => (
+                number,
+                Reply::GrantedKnown {
+                    hash,
+                    expected: Duration::from_micros(expected_us),
+                    is_return,
+                    rate_limit,
+                },
+            ),
             Datagram::Refused {
                 number,
                 reason,
@@ -402,6 +425,7 @@
     let began = Instant::now();
     let mut tries = 0;
     let mut wait = ACK_TIMEOUT;
+    let mut lacks_record = false;
     loop {
         if tries == MAX_TRIES {
             return None;
@@ -412,10 +436,43 @@
             number,
             service: service.into(),
             request: request.with_elapsed(elapsed),
+            lacks_record,
         };
         send(state, dispatcher, datagram);
         while let Some(reply) = timeout(wait, receiver.recv()).await {
-            match reply.ok()? {
+            let reply = match reply.ok()? {
+                Reply::GrantedKnown {
+                    hash,
+                    expected,
+                    is_return,
+                    rate_limit,
+                } => {
+                    let view = state.view();
+                    let Some(entry) = view.endpoint_by_hash(service, hash) else {
+                        if lacks_record {
+                            continue;
+                        }
+                        lacks_record = true;
+                        tries = 0;
+                        metrics::counter!(
+                            "rhubarbpick_missing_records_total",
+                            "service" => service.to_owned()
+                        )
+                        .increment(1);
+                        break;
+                    };
+                    Reply::Granted {
+                        endpoint: Box::new((*entry.endpoint).clone()),
+                        expected,
+                        is_return,
+                        rate_limit,
+                    }
+                }
+                other => other,
+            };
+            match reply {
+                // Replaced above.
+                Reply::GrantedKnown { .. } => {}
                 Reply::Queued => {
                     tries = 0;
                     wait = QUEUED_RETRY_INTERVAL;
@@ -555,7 +612,10 @@
             send(
                 &state,
                 dispatcher,
-                Datagram::OpenPermits { service, numbers },
+                Datagram::OpenPermits {
+                    service,
+                    numbers: wire::differences(numbers),
+                },
             );
         }
     }
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -108,6 +108,10 @@
 pub struct Entry {
     /// Endpoint, as it describes itself.
     pub endpoint: Arc<Endpoint>,
+    /// Hash by which VMs refer to the endpoint.
+    pub hash: u64,
+    /// When this VM first had this record of the endpoint.
+    pub changed_at: Instant,
     /// When the endpoint has warmed up after its start.
     pub cold_until: Instant,
     /// When the endpoint was first seen to be leaving.
@@ -123,6 +127,15 @@
         place.ok().map(|index| &self.endpoints[index])
     }
 
+    /// Returns the only endpoint of a service that has a hash.
+    pub fn endpoint_by_hash<'a>(&'a self, service: &'a str, hash: u64) -> Option<&'a Entry> {
+        let mut found = self
+            .endpoints_of(service)
+            .filter(|entry| entry.hash == hash);
+        let entry = found.next()?;
+        found.next().is_none().then_some(entry)
+    }
+
     /// Returns the table of a service and the table's revision.
     pub fn table(&self, service: &str) -> Option<&(u64, Arc<Table>)> {
         let place = self
@@ -684,6 +697,8 @@
             Some(known) if Arc::ptr_eq(&known.endpoint, endpoint) => known.clone(),
             _ => Entry {
                 endpoint: Arc::clone(endpoint),
+                hash: endpoint.identity_hash(),
+                changed_at: now,
                 cold_until: now.after(Duration::from_millis(endpoint.cold_ms)),
                 leaving_since: endpoint.is_leaving.then(|| {
                     let since = known.and_then(|known| known.leaving_since);
--- a/src/router/wire.rs
+++ b/src/router/wire.rs
@@ -40,6 +40,9 @@
         /// What the permit is for.
         #[serde(rename = "ask")]
         request: Request,
+        /// Whether the sender lacks the record of the endpoint that it has a permit for.
+        #[serde(default)]
+        lacks_record: bool,
     },
     /// Reply: the request is queued.
     Queued {
@@ -60,6 +63,21 @@
         /// What the sender knows of the endpoint's rate limit.
         rate_limit: Option<Report>,
     },
+    /// The same as `Granted`, for receivers that know the record of the endpoint. One that does not
+    /// repeats its request with `lacks_record`.
+    #[serde(rename = "G")]
+    GrantedKnown {
+        /// Number of the request.
+        number: u64,
+        /// Hash of the endpoint's record ([`Endpoint::identity_hash`]).
+        hash: u64,
+        /// Expected duration at the endpoint, in microseconds.
+        expected_us: u64,
+        /// Whether the caller was refused before.
+        is_return: bool,
+        /// What the sender knows of the endpoint's rate limit.
+        rate_limit: Option<Report>,
+    },
     /// Reply: the request gets no permit.
     #[serde(rename = "No")]
     Refused {
@@ -85,6 +103,7 @@
         /// Name of the service.
         service: Box<str>,
         /// How the permit ended.
+        #[serde(with = "outcome")]
         outcome: Outcome,
         /// Duration at the endpoint, in microseconds.
         took_us: u64,
@@ -95,11 +114,11 @@
         load: Option<Load>,
     },
     /// All permits of a service that the sender has open at the receiver.
-    #[serde(rename = "Open")]
+    #[serde(rename = "O")]
     OpenPermits {
         /// Name of the service.
         service: Box<str>,
-        /// Numbers of the requests.
+        /// Numbers of the requests, each as the difference to the one before ([`differences`]).
         numbers: Vec<u64>,
     },
     /// The sender has taken the planner claim that a process of the receiver held; that process
@@ -130,6 +149,72 @@
     Heartbeat(Heartbeat),
 }
 
+/// Encodes an outcome as a number, which takes one byte instead of up to twelve.
+mod outcome {
+    use super::Outcome;
+    use serde::{
+        de::Error,
+        Deserialize,
+        Deserializer,
+        Serializer, //
+    };
+
+    const ALL: [Outcome; 8] = [
+        Outcome::Answered,
+        Outcome::Unreachable,
+        Outcome::Failed,
+        Outcome::Silent,
+        Outcome::Late,
+        Outcome::Shed,
+        Outcome::NotHolder,
+        Outcome::Dropped,
+    ];
+
+    /// Earlier versions send the name.
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Form {
+        Code(usize),
+        Name(Outcome),
+    }
+
+    pub fn serialize<S: Serializer>(outcome: &Outcome, serializer: S) -> Result<S::Ok, S::Error> {
+        let code = ALL.iter().position(|other| other == outcome);
+        serializer.serialize_u8(code.unwrap_or(ALL.len()) as u8)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Outcome, D::Error> {
+        match Form::deserialize(deserializer)? {
+            Form::Name(outcome) => Ok(outcome),
+            Form::Code(code) => {
+                let outcome = ALL.get(code).copied();
+                outcome.ok_or_else(|| D::Error::custom("unknown outcome"))
+            }
+        }
+    }
+}
+
+/// Returns the difference of each number to the one before in ascending order; small numbers are
+/// encoded in fewer bytes.
+pub fn differences(mut numbers: Vec<u64>) -> Vec<u64> {
+    numbers.sort_unstable();
+    let mut last = 0;
+    for number in &mut numbers {
+        (*number, last) = (*number - last, *number);
+    }
+    numbers
+}
+
+/// Returns the numbers with these differences.
+pub fn sums(mut differences: Vec<u64>) -> Vec<u64> {
+    let mut last: u64 = 0;
+    for number in &mut differences {
+        last = last.saturating_add(*number);
+        *number = last;
+    }
+    differences
+}
+
 record! {
     /// Sent periodically to show that a VM is alive.
     pub struct Heartbeat {
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -337,6 +337,7 @@
             zone: "a".into(),
             avoid: Vec::new(),
         },
+        lacks_record: false,
     };
     let flood = || {
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
@@ -608,6 +609,68 @@
     assert_within_limit(limited, PER_S, began + LIMIT_GRACE);
 }
 
+/// Time after which a dispatcher takes a record for known to all VMs.
+const RECORD_SPREAD_TIME: Duration = Duration::from_millis(1_600);
+
+#[test]
+fn vm_without_the_record_of_an_endpoint_asks_for_it() {
+    // Guards against permits that a VM cannot use because it has another record of the endpoint
+    // than the dispatcher, or none.
+    let system = System::start("record", 5);
+    thread::sleep(RECORD_SPREAD_TIME);
+    let service = &system.pool[0].endpoint.service;
+    // Nobody gets records from a VM that is no relay.
+    let router = system.routers.iter().find(|router| {
+        let state = &router.state;
+        let dispatchers = permit_client::candidates(state, &state.view(), service);
+        state.relay_position().is_none() && dispatchers[0] != state.socket.address
+    });
+    let state = &router.expect("three of five VMs are relays").state;
+    let request_permit = || {
+        let request = PermitRequest {
+            class: 1,
+            key: None,
+            rank: 1,
+            goal_us: 400_000,
+            left_us: 2_000_000,
+            is_repeat: false,
+            is_return: false,
+            subject: 1,
+            patience_us: 2_000_000,
+            bytes: 0,
+            zone: "a".into(),
+            avoid: Vec::new(),
+        };
+        let began = Instant::now();
+        let answer = block_on(permit_client::request_permit(state, service, request));
+        let permit_client::Answer::Granted(permit) = answer else {
+            panic!("no permit");
+        };
+        assert!(permit.is_dispatched, "a dispatcher grants the permit");
+        (permit.endpoint.born, began.elapsed())
+    };
+    let (born, _) = request_permit();
+    assert_eq!(born, system.pool[0].endpoint.born);
+    for server in &system.pool {
+        let endpoint = Endpoint {
+            born: server.endpoint.born + 1,
+            ..server.endpoint.clone()
+        };
+        let object = Object {
+            kind: Kind::Endpoint,
+            name: endpoint.id.clone(),
+            revision: u64::MAX / 2,
+            value: Some(Value::Endpoint(Arc::new(endpoint))),
+        };
+        state.merge(|mirror| mirror.merge(object));
+    }
+    // The record is the dispatcher's.
+    let (born, took) = request_permit();
+    assert_eq!(born, system.pool[0].endpoint.born);
+    // One more round trip, without the loss of a dispatcher.
+    assert!(took < Duration::from_millis(120), "{took:?}");
+}
+
 /// Returns how many endpoints without keys report their load to a dispatcher, and how many of
 /// these report slow hosts.
 fn reporting_counts(system: &System) -> (usize, usize) {
