--- a/src/router/permit_client.rs
+++ b/src/router/permit_client.rs
@@ -36,6 +36,7 @@
             View, //
         },
         wire::{
+            self,
             Cold,
             Datagram,
             Load,
@@ -98,6 +99,14 @@
         rate_limit: Option<Report>,
         cold: Option<cold::Report>,
     },
+    /// The same, with the hash of the endpoint's record instead of the record.
+    GrantedKnown {
+        hash: u64,
+        expected: Duration,
+        is_return: bool,
+        rate_limit: Option<Report>,
+        cold: Option<cold::Report>,
+    },
     Refused(Refusal),
     NotDispatcher,
 }
@@ -156,6 +165,23 @@
                     cold,
                 },
             ),
+            Datagram::GrantedKnown {
+                number,
+                hash,
+                expected_us,
+                is_return,
+                rate_limit,
+                cold,
+            } => (
+                number,
+                Reply::GrantedKnown {
+                    hash,
+                    expected: Duration::from_micros(expected_us),
+                    is_return,
+                    rate_limit,
+                    cold,
+                },
+            ),
             Datagram::Refused {
                 number,
                 reason,
@@ -418,6 +444,7 @@
     let began = Instant::now();
     let mut tries = 0;
     let mut wait = ACK_TIMEOUT;
+    let mut lacks_record = false;
     loop {
         if tries == MAX_TRIES {
             return None;
@@ -428,10 +455,45 @@
             number,
             service: service.into(),
             request: request.with_elapsed(elapsed),
+            lacks_record,
         };
         send(state, dispatcher, datagram);
         while let Some(reply) = timeout(wait, receiver.recv()).await {
-            match reply.ok()? {
+            let reply = match reply.ok()? {
+                Reply::GrantedKnown {
+                    hash,
+                    expected,
+                    is_return,
+                    rate_limit,
+                    cold,
+                } => {
+                    let view = state.view();
+                    let Some(entry) = view.endpoint_by_hash(service, hash) else {
+                        if lacks_record {
+                            continue;
+                        }
+                        lacks_record = true;
+                        tries = 0;
+                        metrics::counter!(
+                            "rhubarbpick_missing_records_total",
+                            "service" => service.to_owned()
+                        )
+                        .increment(1);
+                        break;
+                    };
+                    Reply::Granted {
+                        endpoint: Box::new((*entry.endpoint).clone()),
+                        expected,
+                        is_return,
+                        rate_limit,
+                        cold,
+                    }
+                }
+                other => other,
+            };
+            match reply {
+                // Replaced above.
+                Reply::GrantedKnown { .. } => {}
                 Reply::Queued => {
                     tries = 0;
                     wait = QUEUED_RETRY_INTERVAL;
@@ -587,7 +649,10 @@
             send(
                 &state,
                 dispatcher,
-                Datagram::OpenPermits { service, numbers },
+                Datagram::OpenPermits {
+                    service,
+                    numbers: wire::differences(numbers),
+                },
             );
         }
     }
