Tell VMs that start how long endpoints are still cold

Cause: an entry says for how long its endpoint was cold when it was written. A VM that started later counted that time from its own start, so it limited all endpoints whose entries were last written at their own start.

Change: a relay sets the cold time in the entries that it passes on to what is left, evacuations included, for services with a rule for cold endpoints.

--- a/src/router/peer.rs
+++ b/src/router/peer.rs
@@ -5,6 +5,10 @@
 
 use crate::{
     core::{
+        mirror::{
+            Object,
+            Value, //
+        },
         registry::Member,
         time::Instant, //
     },
@@ -108,7 +112,8 @@
     } else {
         0
     };
-    let (last_change, objects) = state.changes_since(since);
+    let (last_change, mut objects) = state.changes_since(since);
+    update_cold_times(&state, &mut objects);
     let delta = wire::Delta {
         mirror_id: state.run,
         last_change,
@@ -120,6 +125,26 @@
     answer(StatusCode::OK, "application/msgpack", encode(&delta))
 }
 
+/// Sets for how long endpoints are cold to what is left of it, as the receiver does not know when
+/// their entries were written, or that a zone was evacuated.
+fn update_cold_times(state: &State, objects: &mut [Object]) {
+    let view = state.view();
+    let now = clock::now();
+    for object in objects {
+        let Some(Value::Endpoint(endpoint)) = &mut object.value else {
+            continue;
+        };
+        let has_rule = state.cold_rule(&view, &endpoint.service).is_some();
+        let Some(entry) = view.endpoint(&endpoint.id).filter(|_| has_rule) else {
+            continue;
+        };
+        let left_ms = entry.cold.report(now).left_us.div_ceil(1_000);
+        if endpoint.cold_ms != left_ms {
+            Arc::make_mut(endpoint).cold_ms = left_ms;
+        }
+    }
+}
+
 /// Polls a relay once; returns `false` if it does not respond.
 pub async fn poll(state: &Arc<State>, relay: &Member, cursors: &mut Vec<Cursor>) -> bool {
     let index = cursors
--- a/tests/suite/router/cold.rs
+++ b/tests/suite/router/cold.rs
@@ -154,3 +154,26 @@
         assert!(!arrivals(server, ended).is_empty());
     }
 }
+
+#[test]
+fn vm_that_starts_later_knows_for_how_long_endpoints_are_cold() {
+    // Guards against a VM that starts, becomes the dispatcher and takes all endpoints for cold
+    // whose entries were last written at their own start.
+    for number in 0..6 {
+        let mut system = start(&format!("cold-late-{number}"), 3);
+        put_restarted(&system, &system.pool[0]);
+        thread::sleep(COLD_TIME);
+        let vm = system.add_vm();
+        let state = Arc::clone(&system.routers[vm].state);
+        assert!(wait_until(READY_TIMEOUT, || state.is_ready()));
+        thread::sleep(Duration::from_millis(200));
+        if state.relay_position().is_some_and(|position| position < 2) {
+            // It may have read the entry from the store.
+            continue;
+        }
+        let endpoint = &system.pool[0].endpoint;
+        assert!(!state.is_cold(endpoint), "the endpoint is warm by now");
+        return;
+    }
+    panic!("no VM got the entry from another one");
+}
