Do not forward invalid statuses; test uploads to faulty endpoints

Cause: the HTTP library accepts a final response with the status 101 and with all statuses from 600 to 999, and these were forwarded to callers.

Change: a response whose status is not from 200 to 599 counts as broken (invalid_status). New tests: a response without a length that is reset during an upload (100 kB to 8 MB, with a length and in chunks), 30 invalid status lines, and uploads whose endpoint closes the connection once it has read them.

Statuses that are no number from 100 to 999 are refused by the HTTP library, so no guard of this code can be removed for them.

--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -51,6 +51,7 @@
     Version, //
 };
 use std::{
+    ops::RangeInclusive,
     sync::Arc,
     time::{
         Duration,
@@ -89,6 +90,9 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
+/// Statuses that a final response may have. The HTTP library also accepts 101 and all up to 999.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Responses up to this length are buffered completely before they are forwarded.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 * 1024;
 
@@ -266,6 +270,9 @@
         // To the caller the status would promise that the request did not run.
         return Completion::Broken("unproven_rejection");
     }
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Completion::Broken("invalid_status");
+    }
     let is_signed = headers.contains_key(&fields.signature);
     if headers.contains_key(CONTENT_ENCODING) || (status.is_success() && !is_signed) {
         return Completion::Broken("not_its_answer");
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -9,6 +9,7 @@
 mod holder;
 mod keyed_limits;
 mod log_trace;
+mod memory;
 mod memory_budget;
 mod overload;
 mod ownership;
--- a/tests/suite/router/faulty_answers.rs
+++ b/tests/suite/router/faulty_answers.rs
@@ -328,3 +328,215 @@
         }
     }
 }
+
+/// How the body of an upload is delimited.
+#[derive(Clone, Copy, Debug)]
+enum Upload {
+    Length,
+    Chunks,
+}
+
+/// Sends an upload over a plain socket, from a thread of its own, and returns what the router sends
+/// until the connection ends, and after which time.
+fn upload(system: &System, id: &str, framing: Upload, length: usize) -> (Vec<u8>, Duration) {
+    const CHUNK_BYTES: usize = 50_000;
+    let mut stream = TcpStream::connect(system.caller_address(0)).unwrap();
+    let field = match framing {
+        Upload::Length => format!("content-length: {length}"),
+        Upload::Chunks => "transfer-encoding: chunked".into(),
+    };
+    let head = format!(
+        "POST /bid/x HTTP/1.1\r\nhost: host\r\nx-id: {id}\r\nx-deadline: 9000\r\n\
+         connection: close\r\n{field}\r\n\r\n"
+    );
+    let mut bytes = head.into_bytes();
+    match framing {
+        Upload::Length => bytes.resize(bytes.len() + length, b'x'),
+        Upload::Chunks => {
+            for start in (0..length).step_by(CHUNK_BYTES) {
+                let size = CHUNK_BYTES.min(length - start);
+                bytes.extend_from_slice(format!("{size:x}\r\n").as_bytes());
+                bytes.resize(bytes.len() + size, b'x');
+                bytes.extend_from_slice(b"\r\n");
+            }
+            bytes.extend_from_slice(b"0\r\n\r\n");
+        }
+    }
+    let began = Instant::now();
+    let mut writer = stream.try_clone().unwrap();
+    let writing = thread::spawn(move || {
+        // The router may close the connection before the end.
+        let _ = writer.write_all(&bytes);
+    });
+    let response = read_to_end(&mut stream);
+    let elapsed = began.elapsed();
+    drop(stream);
+    writing.join().unwrap();
+    (response, elapsed)
+}
+
+/// Returns the status of a response that a caller received, if it received one.
+fn status_of(response: &[u8]) -> Option<u16> {
+    let text = response.strip_prefix(b"HTTP/1.1 ")?;
+    std::str::from_utf8(text.get(..3)?).ok()?.parse().ok()
+}
+
+/// Returns whether a caller can take a response for a complete one.
+fn is_complete(response: &[u8]) -> bool {
+    let end = response.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+    let Some(end) = end else {
+        return false;
+    };
+    let head = String::from_utf8_lossy(&response[..end]).to_lowercase();
+    let body = &response[end + 4..];
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    match length.map(|length| length.parse::<usize>().unwrap()) {
+        Some(length) => body.len() >= length,
+        None if head.contains("transfer-encoding: chunked") => body.ends_with(b"0\r\n\r\n"),
+        None => true,
+    }
+}
+
+/// Lengths of uploads, of which the shortest are buffered and the others forwarded.
+const UPLOAD_BYTES: [usize; 4] = [100_000, 400_000, 1_500_000, 8_000_000];
+
+#[test]
+fn part_of_a_response_that_is_reset_during_an_upload_is_not_forwarded_as_complete() {
+    // Guards against an endpoint that responds at once without a length, sends a part of the body
+    // and resets the connection while the upload is still being written.
+    for part in [0, 1, 2_000, 300_000] {
+        for pause in [0, 30] {
+            let (system, _) = start(&format!("reset-{part}-{pause}"), 2, move |exchange| {
+                exchange.run();
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nx-id: {}\r\nx-signature: {}\r\n\r\n",
+                    exchange.id, exchange.endpoint
+                );
+                exchange.write(head + &"y".repeat(part));
+                thread::sleep(Duration::from_millis(pause));
+                exchange.reset_on_close();
+                false
+            });
+            for length in UPLOAD_BYTES {
+                for framing in [Upload::Length, Upload::Chunks] {
+                    let id = format!("upload-{length}-{framing:?}");
+                    let (response, _) = upload(&system, &id, framing, length);
+                    let is_success =
+                        status_of(&response).is_some_and(|status| (200..300).contains(&status));
+                    assert!(
+                        !is_success || !is_complete(&response),
+                        "{id} got a part of {part} bytes as a complete response"
+                    );
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn invalid_status_is_not_forwarded() {
+    // Guards against a status that callers cannot interpret, and that some take for a success.
+    let invalid = [
+        "000",
+        "000 OK",
+        "001 X",
+        "042 X",
+        "099 X",
+        "99 X",
+        "7 X",
+        "100 X",
+        "101 X",
+        "102 X",
+        "103 X",
+        "199 X",
+        "600 X",
+        "601 X",
+        "700 X",
+        "999 X",
+        "1000 X",
+        "2000 X",
+        "20 X",
+        "2x0 X",
+        "abc X",
+        "OK",
+        "+20 X",
+        "+200 X",
+        "-20 X",
+        "-200 X",
+        "2 00 X",
+        "",
+        " ",
+        "20\u{660} X",
+    ];
+    for (number, line) in invalid.into_iter().enumerate() {
+        let (system, runs) = start(&format!("status-{number}"), 2, move |exchange| {
+            exchange.run();
+            let head = format!(
+                "HTTP/1.1 {line}\r\nx-id: {}\r\nx-signature: {}\r\ncontent-length: 2\r\n\r\n",
+                exchange.id, exchange.endpoint
+            );
+            exchange.write(head + "ok");
+            false
+        });
+        let mut request = open_request(&system, "/read/x", "read");
+        let response = read_response(&mut request);
+        let status = status_of(&response);
+        assert!(
+            matches!(status, Some(502 | 504)),
+            "the status {line:?} was answered by {status:?}"
+        );
+        assert!(
+            !response.ends_with(b"ok"),
+            "the body of {line:?} was forwarded"
+        );
+        let status = send_bid(&system, &runs, "bid").as_u16();
+        assert!(
+            matches!(status, 502 | 504),
+            "the status {line:?} was answered by {status}"
+        );
+    }
+}
+
+/// Reads a response with a length; returns what was read.
+fn read_response(stream: &mut TcpStream) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut piece = [0; 4_096];
+    stream.set_read_timeout(Some(MAX_REQUEST_TIME * 2)).unwrap();
+    while bytes.is_empty() || !is_complete(&bytes) {
+        match stream.read(&mut piece) {
+            Ok(0) | Err(_) => break,
+            Ok(count) => bytes.extend_from_slice(&piece[..count]),
+        }
+    }
+    bytes
+}
+
+#[test]
+fn upload_is_answered_as_soon_as_the_endpoint_has_closed_its_connection() {
+    // Guards against an answer that came only at the deadline, although the endpoint had read the
+    // upload and closed the connection at once.
+    for is_reset in [false, true] {
+        let (system, runs) = start(&format!("closes-{is_reset}"), 2, move |exchange| {
+            exchange.run();
+            exchange.read_body();
+            if is_reset {
+                exchange.reset_on_close();
+            }
+            false
+        });
+        for length in [10, 1_000, 100_000, 1_000_000, 4_000_000] {
+            for try_number in 0..4 {
+                let id = format!("upload-{length}-{try_number}");
+                let (response, elapsed) = upload(&system, &id, Upload::Length, length);
+                assert_eq!(status_of(&response), Some(502), "{id} after {elapsed:?}");
+                // The deadline is at 3 s.
+                let limit = Duration::from_millis(1_500);
+                assert!(elapsed < limit, "{id} was answered after {elapsed:?}");
+                let runs = runs.lock().unwrap();
+                assert_eq!(runs.iter().filter(|run| ***run == *id).count(), 1);
+            }
+        }
+    }
+}
--- a/tests/suite/router/faulty_endpoint.rs
+++ b/tests/suite/router/faulty_endpoint.rs
@@ -42,6 +42,8 @@
     pub endpoint: &'a str,
     /// Identities of the requests before it on the same connection.
     pub earlier: &'a [Box<str>],
+    /// Length of the request's body, if its head tells.
+    pub body_length: Option<usize>,
     stream: &'a mut TcpStream,
     runs: &'a Runs,
 }
@@ -57,6 +59,13 @@
         self.stream.write_all(bytes.as_ref()).is_ok()
     }
 
+    /// Reads the body of the request, as long as its head says.
+    pub fn read_body(&mut self) {
+        let mut body = vec![0; self.body_length.unwrap_or_default()];
+        // What the router does not send is missing in the test's result.
+        let _ = self.stream.read_exact(&mut body);
+    }
+
     /// Resets the connection when it is closed, so that what was written may be lost.
     pub fn reset_on_close(&self) {
         set_socket_linger(&*self.stream, Some(Duration::ZERO)).unwrap();
@@ -145,8 +154,10 @@
     let mut earlier = Vec::new();
     while let Some(head) = read_head(&mut stream) {
         let id = field(&head, "x-id").unwrap_or_default();
+        let length = field(&head, "content-length");
         let mut exchange = Exchange {
             id,
+            body_length: length.and_then(|length| length.parse().ok()),
             endpoint,
             earlier: &earlier,
             stream: &mut stream,
@@ -159,7 +170,7 @@
     }
 }
 
-/// Reads the head of a request without a body; returns `None` at the end of the connection.
+/// Reads the head of a request; returns `None` at the end of the connection.
 fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut byte = [0];
