--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod keyed_limits;
 mod keyed_load;
 mod log_trace;
+mod memory;
 mod memory_budget;
 mod overload;
 mod ownership;
