Run pipelined requests of a caller at the same time

Cause: the HTTP library handles the requests of a connection one after another; eight requests of 200 ms on one connection with twelve free slots took 1,603 ms.

Change: kernel::pipeline follows the bytes of an HTTP/1.1 connection of the callers' listener and starts the handlers of plain requests without a body that the library has not reached yet, if the route allows a repeat. The library still parses and checks every request and writes the responses, so order, limits, time limits and refusals are its own; it gets the response of the handler that was started. At most 15 requests are started early, and none while responses of 256 KiB wait for their turn. Requests with a body, those that must not be repeated and those behind them wait. Started requests are dropped when the caller leaves and answered before a drain or a closing response ends the connection. docs/design/pipelining.md.

Seen to fail (tests/suite/pipeline.rs): with early starts off, ten tests; without the check of the route, requests_that_must_not_be_repeated_run_alone; without the length of bodies, heads_are_found_however_the_bytes_are_split, doubtful_requests_are_read_as_without_pipelining, requests_with_a_body_wait_and_so_do_those_behind; with any Connection field or HTTP/1.0 accepted, nothing_runs_behind_a_response_that_closes_the_connection; without keeping the connection for started requests, requests_that_were_started_are_answered_although_an_earlier_response_closes; with an immediate shutdown, drain_answers_the_requests_that_were_started; with the end of the stream ignored, work_for_a_caller_that_has_left_is_dropped; without the bounds, number_of_requests_at_the_same_time_is_bounded, responses_that_a_caller_does_not_read_do_not_pile_up, bytes_of_responses_that_wait_for_their_turn_are_bounded; with the last started response first, responses_are_in_the_order_of_the_requests and head_request_in_the_middle_has_no_body; without reading ahead, requests_in_packets_of_their_own_run_at_the_same_time; without a time limit, head_of_a_pipelined_request_must_arrive_in_time. malformed_request_is_refused_after_those_before_it_are_answered passes without this change too.

--- a/src/kernel/http.rs
+++ b/src/kernel/http.rs
@@ -7,6 +7,10 @@
 use crate::kernel::{
     error::Error,
     fair_stream,
+    pipeline::{
+        self,
+        Pipelining, //
+    },
     runtime::{
         sleep,
         Context, //
@@ -149,6 +153,27 @@
     address: SocketAddr,
     limits: Limits,
     handler: Handler,
+) -> Result<Listener, Error> {
+    start(context, address, limits, None, handler)
+}
+
+/// Like [`bind`], with pipelined HTTP/1.1 requests handled concurrently.
+pub fn bind_pipelined(
+    context: &Context,
+    address: SocketAddr,
+    limits: Limits,
+    pipelining: Pipelining,
+    handler: Handler,
+) -> Result<Listener, Error> {
+    start(context, address, limits, Some(pipelining), handler)
+}
+
+fn start(
+    context: &Context,
+    address: SocketAddr,
+    limits: Limits,
+    pipelining: Option<Pipelining>,
+    handler: Handler,
 ) -> Result<Listener, Error> {
     let failed = |source| Error::Bind { address, source };
     let socket = Async::<TcpListener>::bind(address).map_err(failed)?;
@@ -158,6 +183,7 @@
     let server = Server {
         context: context.clone(),
         limits,
+        pipelining,
         handler,
         shutdown_signal,
         open_connections: Arc::clone(&open_connections),
@@ -175,6 +201,7 @@
 struct Server {
     context: Context,
     limits: Limits,
+    pipelining: Option<Pipelining>,
     handler: Handler,
     shutdown_signal: async_channel::Receiver<()>,
     open_connections: Arc<AtomicUsize>,
@@ -234,15 +261,21 @@
         }
         return;
     }
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .auto_date_header(server.limits.has_date)
         .timer(SmolTimer::new())
         .header_read_timeout(server.limits.head_timeout)
         .max_buf_size(server.limits.head_bytes)
         .max_headers(server.limits.head_fields)
-        .half_close(false)
-        .serve_connection(FuturesIo::new(fair_stream::server(stream)), service);
-    let mut connection = pin!(connection);
+        .half_close(false);
+    let stream = fair_stream::server(stream);
+    if let Some(pipelining) = &server.pipelining {
+        let (context, handler) = (&server.context, &server.handler);
+        pipeline::serve(context, stream, &builder, handler, pipelining, shutdown).await;
+        return;
+    }
+    let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
     let ended = future::or(
         async {
             let _ = connection.as_mut().await;
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -9,6 +9,7 @@
 pub mod error;
 pub mod fair_stream;
 pub mod http;
+pub mod pipeline;
 pub mod plugin;
 pub mod pool;
 pub mod runtime;
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -15,6 +15,7 @@
 pub mod error_response;
 pub mod forwarded_body;
 pub mod membership;
+pub mod overlap;
 pub mod peer;
 pub mod permit_client;
 pub mod planner;
@@ -135,10 +136,11 @@
         max_connections: connections as usize,
         has_date: false,
     };
-    let callers = http::bind(
+    let callers = http::bind_pipelined(
         context,
         listen.callers,
         caller_limits,
+        overlap::pipelining(&state),
         http::with_state(&state, request::handle),
     )?;
     context.detach(datagram::run(Arc::clone(&state)));
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -13,6 +13,7 @@
 mod ownership;
 mod ownership_simulation;
 mod permit;
+mod pipeline;
 mod plan;
 mod rate_limit;
 mod rebalance;
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -2,6 +2,7 @@
 
 mod faulty_answers;
 mod faulty_endpoint;
+mod pipelined;
 mod stand_in;
 
 use async_io::block_on;
