--- a/src/kernel/fair_stream.rs
+++ b/src/kernel/fair_stream.rs
@@ -242,14 +242,14 @@
 
 /// A stream for the HTTP library, which writes the parts of a body without copying them into a
 /// buffer of its own. Memory that belongs to a body is therefore freed only when it was written.
-pub struct Io(FuturesIo<Stream>);
+pub struct Io<S = Stream>(FuturesIo<S>);
 
 /// Makes a stream usable by the HTTP library.
-pub fn io(stream: Stream) -> Io {
+pub fn io<S>(stream: S) -> Io<S> {
     Io(FuturesIo::new(stream))
 }
 
-impl hyper::rt::Read for Io {
+impl<S: AsyncRead + Unpin> hyper::rt::Read for Io<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -259,7 +259,7 @@
     }
 }
 
-impl hyper::rt::Write for Io {
+impl<S: AsyncWrite + Unpin> hyper::rt::Write for Io<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/src/kernel/http.rs
+++ b/src/kernel/http.rs
@@ -13,6 +13,10 @@
             Account,
             Budget, //
         },
+        pipeline::{
+            self,
+            Pipelining, //
+        },
         runtime::{
             sleep,
             Context, //
@@ -180,15 +184,28 @@
     limits: Limits,
     handler: Handler,
 ) -> Result<Listener, Error> {
-    bind_metered(context, address, limits, None, handler)
+    start(context, address, limits, (None, None), handler)
 }
 
-/// Starts a server as [`bind`] does, whose clients share `memory`.
-pub fn bind_metered(
+/// Starts a server as [`bind`] does, whose clients share `memory` if it is given, and whose
+/// pipelined HTTP/1.1 requests are handled concurrently.
+pub fn bind_pipelined(
     context: &Context,
     address: SocketAddr,
     limits: Limits,
     memory: Option<Memory>,
+    pipelining: Pipelining,
+    handler: Handler,
+) -> Result<Listener, Error> {
+    let shared = (memory, Some(pipelining));
+    start(context, address, limits, shared, handler)
+}
+
+fn start(
+    context: &Context,
+    address: SocketAddr,
+    limits: Limits,
+    (memory, pipelining): (Option<Memory>, Option<Pipelining>),
     handler: Handler,
 ) -> Result<Listener, Error> {
     let failed = |source| Error::Bind { address, source };
@@ -205,6 +222,7 @@
         context: context.clone(),
         limits,
         budget: memory.map(|memory| memory.budget),
+        pipelining,
         handler,
         shutdown_signal,
         open_connections: Arc::clone(&open_connections),
@@ -223,6 +241,7 @@
     context: Context,
     limits: Limits,
     budget: Option<Arc<Budget>>,
+    pipelining: Option<Pipelining>,
     handler: Handler,
     shutdown_signal: async_channel::Receiver<()>,
     open_connections: Arc<AtomicUsize>,
@@ -270,24 +289,35 @@
     });
 }
 
+/// Returns a handler that passes the account of its connection to `handler` and counts the
+/// requests that are being handled.
+fn metered_handler(handler: &Handler, account: Option<&Arc<Account>>) -> Handler {
+    let Some(account) = account.cloned() else {
+        return Arc::clone(handler);
+    };
+    let handler = Arc::clone(handler);
+    Arc::new(move |mut request| {
+        request.extensions_mut().insert(Arc::clone(&account));
+        let running = account.begin_request();
+        let answer = handler(request);
+        Box::pin(async move {
+            let response = answer.await;
+            drop(running);
+            response
+        })
+    })
+}
+
 async fn serve_connection(
     stream: Async<TcpStream>,
     server: &Server,
     account: Option<&Arc<Account>>,
 ) {
-    let handler = Arc::clone(&server.handler);
-    let service_account = account.cloned();
-    let service = service_fn(move |mut request: Request<Incoming>| {
-        let running = service_account.as_ref().map(|account| {
-            request.extensions_mut().insert(Arc::clone(account));
-            account.begin_request()
-        });
+    let service_handler = metered_handler(&server.handler, account);
+    let handler = Arc::clone(&service_handler);
+    let service = service_fn(move |request: Request<Incoming>| {
         let answer = handler(request);
-        async move {
-            let response = answer.await;
-            drop(running);
-            Ok::<_, Infallible>(response)
-        }
+        async move { Ok::<_, Infallible>(answer.await) }
     });
     let shutdown = async {
         let _ = server.shutdown_signal.recv().await;
@@ -323,14 +353,29 @@
         return;
     }
     let stream = fair_stream::server(stream, account.cloned());
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .auto_date_header(server.limits.has_date)
         .timer(SmolTimer::new())
         .header_read_timeout(server.limits.head_timeout)
         .max_buf_size(server.limits.head_bytes)
         .max_headers(server.limits.head_fields)
-        .half_close(false)
-        .serve_connection(fair_stream::io(stream), service);
+        .half_close(false);
+    if let Some(pipelining) = &server.pipelining {
+        let (context, account) = (&server.context, account.cloned());
+        let stream = (stream, account);
+        pipeline::serve(
+            context,
+            stream,
+            &builder,
+            &service_handler,
+            pipelining,
+            shutdown,
+        )
+        .await;
+        return;
+    }
+    let connection = builder.serve_connection(fair_stream::io(stream), service);
     let mut connection = pin!(connection);
     let ended = future::or(
         async {
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -10,6 +10,7 @@
 pub mod fair_stream;
 pub mod http;
 pub mod memory;
+pub mod pipeline;
 pub mod plugin;
 pub mod pool;
 pub mod runtime;
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -16,6 +16,7 @@
 pub mod forwarded_body;
 pub mod held_body;
 pub mod membership;
+pub mod overlap;
 pub mod peer;
 pub mod permit_client;
 pub mod planner;
@@ -146,14 +147,16 @@
     let caller_memory = state.settings.bounds.caller_memory;
     let budget = Budget::new(memory_budget::Limits::new(memory_bytes, caller_memory));
     context.detach(memory::supervise(Arc::clone(&budget)));
-    let callers = http::bind_metered(
+    let memory = Memory {
+        budget: Arc::clone(&budget),
+        socket_buffers: memory_budget::socket_buffers(memory_bytes, connections),
+    };
+    let callers = http::bind_pipelined(
         context,
         listen.callers,
         caller_limits,
-        Some(Memory {
-            budget: Arc::clone(&budget),
-            socket_buffers: memory_budget::socket_buffers(memory_bytes, connections),
-        }),
+        Some(memory),
+        overlap::pipelining(&state),
         http::with_state(&state, request::handle),
     )?;
     context.detach(datagram::run(Arc::clone(&state)));
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -4,6 +4,7 @@
 mod evacuation;
 mod faulty_answers;
 mod faulty_endpoint;
+mod pipelined;
 mod stand_in;
 
 use async_io::block_on;
