Let the limits of cold endpoints count for keys and zones

Cause: two parts were written side by side. The capacity of an owner of keys and the free slots of a zone used only rate limits that endpoints name, not those of cold endpoints, so the planner counted on the full capacity of a cold owner. Change: both use the limits of core::permit::limits.

--- a/src/core/permit/keyed.rs
+++ b/src/core/permit/keyed.rs
@@ -79,7 +79,7 @@
     /// Returns how many requests of mean service time an owner serves at a time.
     fn keyed_parallelism(&self, endpoint: &State, now: Instant) -> f64 {
         let by_slots = endpoint.slots as f64 / endpoint.keyed_slowness(now);
-        let rate = self.rate_limits.rate(&endpoint.id);
+        let rate = self.max_rate(&endpoint.id, now);
         rate.map_or(by_slots, |rate| {
             by_slots.min(rate * self.overall_mean_us() / 1e6)
         })
--- a/src/core/permit/zones.rs
+++ b/src/core/permit/zones.rs
@@ -487,7 +487,7 @@
                 continue;
             };
             let side = &mut pass.sides[position];
-            let has_tokens = self.rate_limits.wait(&endpoint.id, 0, now).is_zero();
+            let has_tokens = self.rate_wait_us(endpoint, 0, now) == 0.0;
             side.slots += endpoint.slots;
             if has_tokens {
                 side.free_slots += endpoint.slots.saturating_sub(endpoint.permits.len());
