Reserve memory for requests that are started early

Cause: pipelined requests are started up to 15 at a time on a connection, and their tasks, some 8 kB each, were not counted. 300 clients that each send 16 requests for 250,000 bytes and read nothing raised resident memory to 69,620 kB, 77,201 kB with socket buffers, of 65,536 kB allowed. Change: a request is started early only if 16 KiB can be reserved for it, and otherwise when the HTTP library reaches it.

--- a/src/kernel/pipeline.rs
+++ b/src/kernel/pipeline.rs
@@ -101,6 +101,10 @@
 /// Size of one read ahead.
 const READ_BYTES: usize = 4 * 1024;
 
+/// Bytes that a started request is taken to hold beside its response: its task, which waits for a
+/// permit or an endpoint, and its head.
+const TASK_BYTES: usize = 16 * 1024;
+
 /// Function that tells from a request's target and `Host` field whether it may run concurrently
 /// with other requests of its connection.
 pub type MayOverlap = Arc<dyn Fn(&Uri, Option<&HeaderValue>) -> bool + Send + Sync>;
@@ -206,6 +210,7 @@
     headers: HeaderMap,
     task: Task<Response<Body>>,
     held_bytes: Arc<HeldBytes>,
+    _reserved: Option<Reservation>,
 }
 
 impl Started {
@@ -271,7 +276,12 @@
         (self.pipelining.may_overlap)(uri, host)
     }
 
-    fn start(&self, request: Request<Incoming>, total: &Arc<AtomicUsize>) -> Started {
+    fn start(
+        &self,
+        request: Request<Incoming>,
+        total: &Arc<AtomicUsize>,
+        reserved: Option<Reservation>,
+    ) -> Started {
         metrics::counter!("rhubarbpick_pipelined_requests_total").increment(1);
         let held_bytes = Arc::new(HeldBytes {
             own: AtomicUsize::new(0),
@@ -292,6 +302,7 @@
             headers,
             task,
             held_bytes,
+            _reserved: reserved,
         }
     }
 }
@@ -430,6 +441,12 @@
                 }
                 return;
             }
+            let reserved = self.account.as_ref();
+            let reserved = reserved.map(|account| account.try_reserve(Purpose::Small, TASK_BYTES));
+            if matches!(reserved, Some(None)) {
+                // The HTTP library reaches the request later.
+                return;
+            }
             let head = mem::take(head);
             self.queued_bytes -= head.len();
             let request = starter
@@ -441,7 +458,7 @@
                 return;
             };
             self.heads.pop_front();
-            let started = starter.start(request, &self.held_bytes);
+            let started = starter.start(request, &self.held_bytes, reserved.flatten());
             self.started.push_back(started);
         }
     }
