--- a/src/core/memory_budget.rs
+++ b/src/core/memory_budget.rs
@@ -105,7 +105,7 @@
     /// Returns the time without progress that the client is charged with.
     ///
     /// One that always makes just enough progress is charged with a part of the time for which it
-    /// holds memory, so that it cannot keep it for ever.
+    /// holds memory, so that it cannot keep it indefinitely.
     fn charged(&self) -> Duration {
         self.stalled.max(self.holding / HOLDING_DIVISOR)
     }
--- a/src/core/permit/keyed.rs
+++ b/src/core/permit/keyed.rs
@@ -5,7 +5,7 @@
 //! times as slowly for 400 ms at a time, and for callers that wait a few service times longer
 //! than their response time goal.
 //!
-//! - The estimate uses the lasting speed of the owner, so a short slowdown refuses nobody.
+//! - The estimate uses the lasting speed of the owner, so a short slowdown causes no refusals.
 //!   It plays the requests that run, that wait at the owner and that are queued before this
 //!   one to the slots.
 //! - A request that can meet its goal is served before all that cannot. Another one is
--- a/src/core/rebalance.rs
+++ b/src/core/rebalance.rs
@@ -23,7 +23,7 @@
 
 /// Time constant of the rates that are used otherwise. An owner of two slots gets some six
 /// requests per second, so 1.5 s give its load only to within a quarter, and keys were moved
-/// after that noise for ever.
+/// after that noise indefinitely.
 const LASTING_TIME_CONSTANT_S: f64 = 8.0;
 
 /// Time after which there are lasting rates.
--- a/tests/suite/memory.rs
+++ b/tests/suite/memory.rs
@@ -83,7 +83,7 @@
 
 #[test]
 fn stalled_client_is_closed_only_when_another_one_waits() {
-    // Guards against clients that are closed although nobody needs their memory, and against
+    // Guards against clients that are closed although no other client waits for memory, and against
     // those that keep it while others wait.
     let context = Context::spawn(1);
     let budget = budget(10);
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -649,7 +649,7 @@
     let system = System::start("record", 5);
     thread::sleep(RECORD_SPREAD_TIME);
     let service = &system.pool[0].endpoint.service;
-    // Nobody gets records from a VM that is no relay.
+    // A VM that is no relay does not pass records on.
     let router = system.routers.iter().find(|router| {
         let state = &router.state;
         let dispatchers = permit_client::candidates(state, &state.view(), service);
