--- a/src/core/permit/zones.rs
+++ b/src/core/permit/zones.rs
@@ -34,7 +34,7 @@
 };
 
 /// Multiple of the expected service time that must be left before the goal for a free slot to
-/// count as in time; one in some fifty service times is longer than three times the expected one.
+/// count as in time. With 2, requests stayed at the slowest endpoints of small zones and were late.
 const FREE_SERVICE_MARGIN: f64 = 2.5;
 
 /// The same for a slot that is not free yet, as the wait is an estimate too. With 2, 0.7 % more
