review: show that a foreign name at a page's end stops all machines

Rule: RECOVER, of the requests sent later than recovery_s after the machines are back less than a quarter is served.

--- a/review/standin-2/endpoint.rs
+++ b/review/standin-2/endpoint.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     http::{free_ports, Connection, Head},
-    system::PLATFORM,
+    system::platform,
 };
 use std::{
     net::{SocketAddr, TcpListener},
@@ -16,7 +16,8 @@
 
 /// Starts an endpoint with the given id, which serves as long as the process runs.
 pub fn start(id: &str, serve: Serve) -> SocketAddr {
-    let listener = TcpListener::bind((PLATFORM, free_ports(PLATFORM, 0))).expect("no free port");
+    let listener =
+        TcpListener::bind((platform(), free_ports(platform(), 0))).expect("no free port");
     let address = listener
         .local_addr()
         .expect("a bound socket has an address");
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod endpoint;
 mod http;
 mod keys;
+mod names;
 mod slow;
 mod store;
 mod system;
@@ -36,6 +37,7 @@
         "crowd" => crowd::run(Arc::clone(&record), has_trouble),
         "weights" => weights::run(Arc::clone(&record), has_trouble),
         "slow" => slow::run(Arc::clone(&record), has_trouble),
+        "names" => names::run(Arc::clone(&record), has_trouble),
         "unsure" => unsure::run(Arc::clone(&record), has_trouble),
         other => Verdict::Unable(format!("no scenario {other}")),
     };
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -14,6 +14,9 @@
 
 const ROOT: &str = "/rhubarbpick/objects/";
 
+/// Most items of one page of a list.
+const PAGE_ITEMS: usize = 500;
+
 struct Object {
     rev: u64,
     spec: String,
@@ -176,7 +179,7 @@
             ("GET", None) => match number("watch") {
                 None => (
                     200,
-                    content.list(kind, &parameter("after").unwrap_or_default()),
+                    content.list(kind, &decode(&parameter("after").unwrap_or_default())),
                 ),
                 Some(after) => {
                     let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
@@ -292,11 +295,13 @@
             .objects
             .iter()
             .filter(|((other, name), _)| other == kind && &**name > after);
-        let items: Vec<String> = of_kind
+        let mut items: Vec<String> = of_kind
             .map(|((_, name), object)| object_text(name, object))
             .collect();
+        let has_more = items.len() > PAGE_ITEMS;
+        items.truncate(PAGE_ITEMS);
         format!(
-            "{{\"items\":[{}],\"has_more\":false,\"as_of\":{}}}",
+            "{{\"items\":[{}],\"has_more\":{has_more},\"as_of\":{}}}",
             items.join(","),
             self.rev
         )
@@ -311,6 +316,29 @@
     }
 }
 
+/// Decodes a value of a query.
+fn decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((&first, others)) = rest.split_first() {
+        let code = others
+            .get(..2)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
+        let code = code.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        rest = match (first, code) {
+            (b'%', Some(byte)) => {
+                bytes.push(byte);
+                &others[2..]
+            }
+            (byte, _) => {
+                bytes.push(if byte == b'+' { b' ' } else { byte });
+                others
+            }
+        };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// Returns the text of the first value of a key of a JSON object, at any depth.
 pub fn value_of(json: &str, key: &str) -> Option<String> {
     let start = json.find(&format!("\"{key}\":"))? + key.len() + 3;
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -8,15 +8,17 @@
     fs::{self, File},
     io::Write,
     net::{Ipv4Addr, SocketAddr},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
 
-/// Address of the endpoints and of the store.
-pub const PLATFORM: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 1);
+/// Returns the address of the endpoints and of the store; another one for each run.
+pub fn platform() -> Ipv4Addr {
+    Ipv4Addr::new(127, 72, (std::process::id() % 250) as u8 + 1, 1)
+}
 
 /// Limits of the machines of a deployment.
 pub struct Machine {
@@ -55,9 +57,41 @@
     pub gate: Arc<Gate>,
     ready: SocketAddr,
     child: Child,
+    settings: PathBuf,
+}
+
+/// Starts the program of the deploy file.
+fn spawn(settings: &Path) -> Option<Child> {
+    let log = settings.with_extension("log");
+    let log = File::options().create(true).append(true).open(log).ok()?;
+    Command::new("target/release/rhubarbpick-platform")
+        .env_clear()
+        .env("RHUBARBPICK_SETTINGS", settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().ok()?)
+        .stderr(log)
+        .spawn()
+        .ok()
 }
 
 impl Router {
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again, as the platform does after it ended.
+    pub fn start_again(&mut self) -> bool {
+        match spawn(&self.settings) {
+            Some(child) => {
+                self.child = child;
+                true
+            }
+            None => false,
+        }
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
@@ -136,8 +170,7 @@
 
 impl Drop for Router {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
@@ -157,7 +190,10 @@
 }
 
 fn start_router(index: u8, machine: &Machine, store: &Store, folder: &PathBuf) -> Option<Router> {
-    let gate = store::listen(store, SocketAddr::from((PLATFORM, free_ports(PLATFORM, 0))));
+    let gate = store::listen(
+        store,
+        SocketAddr::from((platform(), free_ports(platform(), 0))),
+    );
     let store = gate.address;
     let ip = Ipv4Addr::new(127, 71, (std::process::id() % 250) as u8 + 1, index + 1);
     let base = free_ports(ip, 17);
@@ -218,15 +254,7 @@
     );
     let path = folder.join(format!("router-{index}.toml"));
     fs::write(&path, settings).ok()?;
-    let log = File::create(folder.join(format!("router-{index}.log"))).ok()?;
-    let child = Command::new("target/release/rhubarbpick-platform")
-        .env_clear()
-        .env("RHUBARBPICK_SETTINGS", &path)
-        .stdin(Stdio::null())
-        .stdout(log.try_clone().ok()?)
-        .stderr(log)
-        .spawn()
-        .ok()?;
+    let child = spawn(&path)?;
     Some(Router {
         name: format!("front-zone-a-{index}"),
         ip,
@@ -234,6 +262,7 @@
         gate,
         ready,
         child,
+        settings: path,
     })
 }
 
