review: pace the crowd of case 8 and add steady uploads

Rule: LOST, a request from a kept connection is passed on to a sound server and the connection is closed without an answer, more than three times. Disruption: 300 clients with bodies of legal size that stop short of their end, at 22.5 MB a second in all to a machine of 512 MB and 200 Mbit/s. The first form sent more than the link of its machine carries.

--- a/review/standin-2/crowd.rs
+++ b/review/standin-2/crowd.rs
@@ -1,4 +1,4 @@
-//! A crowd of stalled uploads beside callers that pipeline.
+//! A crowd of stalled uploads beside callers that pipeline and callers that send long uploads.
 
 use crate::{
     endpoint::{answer, id_of, path_of, start},
@@ -20,10 +20,20 @@
 const SPAN: Duration = Duration::from_secs(25);
 
 const CALLERS: usize = 6;
+const UPLOADERS: usize = 6;
 
-/// Clients that stop just short of the end of a body, and the length of that.
-const CROWD: usize = 150;
+/// An ordinary upload: 400 kB a second for seven seconds.
+const UPLOAD_BYTES: usize = 2_800_000;
+const PIECE_BYTES: usize = 40_000;
+const PIECE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Clients that stop just short of the end of a body, the length of that, and when they come.
+const CROWD: usize = 300;
 const BODY_BYTES: usize = 1_000_000;
+const CROWD_AFTER: Duration = Duration::from_secs(6);
+
+/// What each of them sends in 100 ms at most: 22.5 MB a second in all, within the machine's link.
+const CROWD_PIECE_BYTES: usize = 7_500;
 
 /// Work of the first request of each caller, and of those that it sends behind it.
 const LONG_WORK_MS: u64 = 900;
@@ -37,10 +47,10 @@
         let address = start(
             &id,
             Arc::new(move |connection, head| {
+                arrived.lock().unwrap().insert(id_of(head), Instant::now());
                 if connection.read_body(head).is_none() {
                     return false;
                 }
-                arrived.lock().unwrap().insert(id_of(head), Instant::now());
                 let work = path_of(head)
                     .rsplit('/')
                     .next()
@@ -53,11 +63,11 @@
     }
     let routes = [
         route("look", "idempotent", 4_000, "\"service\":\"stock\""),
-        route("upload", "upload", 4_000, "\"service\":\"stock\""),
+        route("upload", "upload", 10_000, "\"service\":\"stock\""),
     ];
     let machine = Machine {
-        memory_mb: 120,
-        max_fds: 3_075,
+        memory_mb: 512,
+        max_fds: 8_192,
         cpu_share: 0.5,
     };
     let Some(mut system) = System::start(1, &machine, &config(1, &["stock"], &routes), &endpoints)
@@ -69,7 +79,10 @@
     let crowd_size = if has_trouble { CROWD } else { 0 };
     let crowd = (0..crowd_size).map(|client| {
         let is_over = Arc::clone(&is_over);
-        thread::spawn(move || stall(client, front, &is_over))
+        thread::spawn(move || {
+            thread::sleep(CROWD_AFTER);
+            stall(client, front, &is_over);
+        })
     });
     let crowd: Vec<_> = crowd.collect();
     let counts = Arc::new([(); 3].map(|()| AtomicUsize::new(0)));
@@ -81,7 +94,19 @@
         );
         thread::spawn(move || call(caller, front, &arrived, &record, &counts))
     });
-    let callers: Vec<_> = callers.collect();
+    let mut callers: Vec<_> = callers.collect();
+    let lost_uploads = Arc::new(AtomicUsize::new(0));
+    for uploader in 0..UPLOADERS {
+        let (arrived, record, counts) = (
+            Arc::clone(&arrived),
+            Arc::clone(&record),
+            Arc::clone(&counts),
+        );
+        let lost = Arc::clone(&lost_uploads);
+        callers.push(thread::spawn(move || {
+            upload(uploader, front, &arrived, &record, &counts, &lost);
+        }));
+    }
     for caller in callers {
         let _ = caller.join();
     }
@@ -94,8 +119,9 @@
     }
     let [sent, answered, lost] = [0, 1, 2].map(|index| counts[index].load(Ordering::Relaxed));
     let text = format!(
-        "{sent} ordinary requests, {answered} answered, {lost} lost: passed on to an endpoint that worked \
-         on them, and their connection was closed without an answer"
+        "{sent} ordinary requests, {answered} answered, {lost} lost, {} of them uploads: passed on to an \
+         endpoint, and their connection was closed without an answer",
+        lost_uploads.load(Ordering::Relaxed)
     );
     // The rule allows three.
     match (answered, lost) {
@@ -117,17 +143,15 @@
         };
         let head = format!(
             "POST /upload/a HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: s{client}n{number}\r\n\
-             Deadline-Ms: 8000\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+             Deadline-Ms: 10000\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
         );
         connection.write(head.as_bytes());
-        // Sends on while the router takes it.
-        let mut at = 0;
-        while at < body.len() && !is_over.load(Ordering::Relaxed) {
-            match std::io::Write::write(&mut connection.stream, &body[at..]) {
-                Ok(count) => at += count,
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
-                Err(_) => break,
+        let pieces = body.chunks(CROWD_PIECE_BYTES);
+        for piece in pieces.take_while(|_| !is_over.load(Ordering::Relaxed)) {
+            if !connection.write(piece) {
+                break;
             }
+            thread::sleep(PIECE_INTERVAL);
         }
         while !is_over.load(Ordering::Relaxed) {
             let mut bytes = [0; 512];
@@ -151,7 +175,7 @@
     let mut connection = None;
     let mut number = 0;
     // The crowd comes first.
-    thread::sleep(Duration::from_millis(2_000 + 100 * caller as u64));
+    thread::sleep(CROWD_AFTER + Duration::from_millis(2_000 + 100 * caller as u64));
     while began.elapsed() < SPAN {
         let opened = connection
             .take()
@@ -222,3 +246,75 @@
         }
     }
 }
+
+/// Sends uploads at a steady pace, each on a connection on which a request was answered before.
+fn upload(
+    uploader: usize,
+    front: SocketAddr,
+    arrived: &Mutex<HashMap<String, Instant>>,
+    record: &Record,
+    counts: &[AtomicUsize; 3],
+    lost: &AtomicUsize,
+) {
+    let began = Instant::now();
+    thread::sleep(Duration::from_millis(200 * uploader as u64));
+    let body = vec![b'p'; UPLOAD_BYTES];
+    let mut number = 0;
+    while began.elapsed() < SPAN {
+        number += 1;
+        let id = format!("u{uploader}n{number}");
+        let Ok(mut connection) = Connection::connect(front, Duration::from_secs(11)) else {
+            thread::sleep(Duration::from_millis(100));
+            continue;
+        };
+        connection.write(
+            format!(
+                "GET /look/{SHORT_WORK_MS} HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: {id}a\r\n\
+                 Deadline-Ms: 4000\r\n\r\n"
+            )
+            .as_bytes(),
+        );
+        if !matches!(connection.read_response(), Received::Message(_)) {
+            continue;
+        }
+        counts[0].fetch_add(1, Ordering::Relaxed);
+        let sent = Instant::now();
+        connection.write(
+            format!(
+                "POST /upload/10 HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 10000\r\n\
+                 Content-Length: {UPLOAD_BYTES}\r\n\r\n"
+            )
+            .as_bytes(),
+        );
+        for piece in body.chunks(PIECE_BYTES) {
+            if !connection.write(piece) {
+                break;
+            }
+            thread::sleep(PIECE_INTERVAL);
+        }
+        let took = || sent.elapsed().as_millis();
+        match connection.read_response() {
+            Received::Message((head, _)) => {
+                counts[1].fetch_add(1, Ordering::Relaxed);
+                record.log(&format!(
+                    "uploader {id}: {} after {} ms",
+                    head.first_line,
+                    took()
+                ));
+            }
+            _ if arrived.lock().unwrap().contains_key(&id) => {
+                counts[2].fetch_add(1, Ordering::Relaxed);
+                lost.fetch_add(1, Ordering::Relaxed);
+                record.log(&format!(
+                    "uploader {id}: closed without an answer after {} ms, passed on",
+                    took()
+                ));
+            }
+            _ => record.log(&format!(
+                "uploader {id}: closed after {} ms, not passed on",
+                took()
+            )),
+        }
+        thread::sleep(Duration::from_millis(200));
+    }
+}
