Keep the outcome of a table write unknown until the store settles it

Cause: a write without a response is repeated until its outcome is known, but each repetition began anew. When the store refused it (503, or no connection), the refusal was taken for the outcome of the first write too. The planner dropped the changes of the table, which was in the store, and granted the keys to their old owner; the next planner read the table and granted them to the new owners.

Ruled out: the lease arithmetic (the old owner's leases had ended when the table was written), and the state machine of the planner, which keeps the changes for as long as a write is pending.

Change: write_table is told whether an earlier attempt may have taken effect. Then only a success or a conflict settles the outcome. A refused repetition marks the store as failed, as the definite error did before. An outcome is reported only to the planner that began the write: reported to a later one, it would drop changes of that planner's own pending write. This second part was found by reading and has no test of its own.

--- a/src/router/claim.rs
+++ b/src/router/claim.rs
@@ -108,7 +108,7 @@
         &|claim| has_ended(&view, claim),
     );
     let sent = clock::now();
-    match write_table(state, &table, replaced).await {
+    match write_table(state, &table, replaced, Earlier::None).await {
         Ok(revision) if revision::era(revision) != table.era => {
             log::warn!("event=claim_outdated service={service} revision={revision}");
             None
@@ -187,15 +187,28 @@
     members.any(|member| member.name == claim.node && member.run > claim.run)
 }
 
+/// Earlier attempts at the same write, under the same revision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Earlier {
+    /// There were none, or none of them had an effect.
+    None,
+    /// One of them may have taken effect or may still do so.
+    Unknown,
+}
+
 /// Writes a table. If the response is lost, repeats the write under the same revision to learn
 /// whether the first one took effect.
+///
+/// After an attempt with an unknown outcome, only a success or a conflict tells what became of
+/// it. Any other error concerns the latest attempt alone, so the outcome stays unknown.
 pub async fn write_table(
     state: &Arc<State>,
     table: &Table,
     revision: Option<u64>,
+    earlier: Earlier,
 ) -> Result<u64, Error> {
     let value = Value::Table(Arc::new(table.clone()));
-    let mut is_uncertain = false;
+    let mut is_uncertain = earlier == Earlier::Unknown;
     for _ in 0..4 {
         let store = state.store();
         let put = store.put(Write {
@@ -223,6 +236,7 @@
                     "event=write_unsure service={} why=\"{error}\"",
                     table.service
                 );
+                state.mark_store_failed();
                 return Err(Error::Unknown);
             }
             Err(error) => return Err(error),
--- a/src/router/planner.rs
+++ b/src/router/planner.rs
@@ -46,6 +46,7 @@
             should_take_claim,
             take_claim,
             write_table,
+            Earlier,
             RETRY_DELAY, //
         },
         datagram::send,
@@ -517,15 +518,33 @@
         planner.revision()
     };
     let sent = clock::now();
-    let mut written = write_table(state, &table, Some(revision)).await;
+    let mut written = write_table(state, &table, Some(revision), Earlier::None).await;
     while matches!(written, Err(Error::Unknown)) && is_current(job, revision) {
         // The write may still take effect; nothing else may be written until its outcome is
         // known.
         log::warn!("event=table_unsure service={}", table.service);
         sleep(RETRY_DELAY).await;
-        written = write_table(state, &table, Some(revision)).await;
+        written = write_table(state, &table, Some(revision), Earlier::Unknown).await;
     }
-    report(state, job, |planner, now| match written {
+    report(state, job, |planner, now| {
+        if planner.revision() != revision {
+            // The outcome says nothing about what a later planner is writing.
+            log::info!("event=table_outdated service={}", table.service);
+            return;
+        }
+        on_write_outcome(state, planner, table, written, sent, now);
+    });
+}
+
+fn on_write_outcome(
+    state: &State,
+    planner: &mut Planner,
+    table: Table,
+    written: Result<u64, Error>,
+    sent: Instant,
+    now: Instant,
+) {
+    match written {
         Ok(revision) => {
             log::info!(
                 "event=table_written service={} revision={revision} fence={} ranges={} took_ms={}",
@@ -553,7 +572,7 @@
             }
             planner.on_write_failed(now.after(RETRY_DELAY));
         }
-    });
+    }
 }
 
 fn is_current(job: &Job, revision: u64) -> bool {
--- a/tests/suite/router/stand_in.rs
+++ b/tests/suite/router/stand_in.rs
@@ -141,6 +141,8 @@
     is_down: AtomicBool,
     are_watches_stalled: AtomicBool,
     are_responses_held: AtomicBool,
+    /// Id of an endpoint, see [`Store::fail_after_reassigning`].
+    fails_after: Mutex<Option<Box<str>>>,
     /// Number of calls so far.
     pub calls: AtomicU64,
 }
@@ -171,6 +173,39 @@
             .store(are_responses_held, Ordering::SeqCst);
     }
 
+    /// Executes the write of a table that gives keys of an endpoint to others without asking it to
+    /// release them, does not respond, and is down from then on.
+    pub fn fail_after_reassigning(&self, endpoint: &str) {
+        *self.fails_after.lock().unwrap() = Some(endpoint.into());
+    }
+
+    /// Returns whether the store fails after a write that it has not executed yet.
+    fn fails_after(&self, write: &Write) -> bool {
+        let mut fails_after = self.fails_after.lock().unwrap();
+        let (Value::Table(next), Some(endpoint)) = (&write.value, &*fails_after) else {
+            return false;
+        };
+        let Some(table) = self.table(&write.name) else {
+            return false;
+        };
+        let is_owned = |table: &Table, key| {
+            let owner = table.range(key).and_then(|range| range.owner.as_ref());
+            owner.is_some_and(|owner| owner.endpoint == *endpoint)
+        };
+        let is_reassigned = next.ranges.iter().any(|range| {
+            range.previous.is_none() && is_owned(&table, range.from) && !is_owned(next, range.from)
+        });
+        if is_reassigned {
+            *fails_after = None;
+        }
+        is_reassigned
+    }
+
+    /// Returns whether the store refuses calls.
+    pub fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::SeqCst)
+    }
+
     /// Returns the table of a service.
     pub fn table(&self, service: &str) -> Option<Arc<Table>> {
         match self.get(Kind::Table, service)?.value {
@@ -286,7 +321,12 @@
             let store = Arc::clone(&put_store);
             Box::pin(async move {
                 store.begin_call()?;
+                let fails = store.fails_after(&write);
                 let written = store.write(&write);
+                if fails && written.is_ok() {
+                    store.set_down(true);
+                    return Err(Error::Unknown);
+                }
                 while store.are_responses_held.load(Ordering::SeqCst) {
                     sleep(WATCH_POLL_INTERVAL).await;
                 }
@@ -332,6 +372,7 @@
     cold_until: Mutex<Option<Instant>>,
     mode: Mutex<Mode>,
     is_running: AtomicBool,
+    is_cut_off: AtomicBool,
     leases: Mutex<Vec<(u16, u16, u64, Instant)>>,
     is_keyed: bool,
     service_time: Duration,
@@ -368,6 +409,7 @@
             cold_until: Mutex::default(),
             mode: Mutex::new(Mode::Normal),
             is_running: AtomicBool::new(true),
+            is_cut_off: AtomicBool::new(false),
             leases: Mutex::default(),
             is_keyed: keyed,
             service_time: Duration::from_millis(20),
@@ -419,6 +461,15 @@
         drop(listener);
     }
 
+    /// Lets no order reach the endpoint, or lets them reach it again.
+    pub fn set_cut_off(&self, is_cut_off: bool) {
+        self.is_cut_off.store(is_cut_off, Ordering::SeqCst);
+    }
+
+    fn is_reachable(&self) -> bool {
+        self.is_running.load(Ordering::SeqCst) && !self.is_cut_off.load(Ordering::SeqCst)
+    }
+
     /// Returns whether the endpoint holds a key.
     pub fn holds(&self, key: u16) -> bool {
         let now = Instant::now();
@@ -494,7 +545,7 @@
     }
 
     fn grant(&self, grant: &Grant) -> Outcome {
-        if !self.is_running.load(Ordering::SeqCst) {
+        if !self.is_reachable() {
             return Outcome::Unreachable;
         }
         for other in servers().lock().unwrap().iter() {
@@ -528,7 +579,7 @@
     }
 
     fn release(&self, release: Release) -> Outcome {
-        if !self.is_running.load(Ordering::SeqCst) {
+        if !self.is_reachable() {
             return Outcome::Unreachable;
         }
         let mut leases = self.leases.lock().unwrap();
@@ -562,7 +613,7 @@
         open: Box::new(|endpoint| {
             let server = find_server(endpoint);
             Box::pin(async move {
-                if !server.is_running.load(Ordering::SeqCst) {
+                if !server.is_reachable() {
                     return Err(Outcome::Unreachable);
                 }
                 let line_server = Arc::clone(&server);
