Compute the start state of weighted round robin

Cause: each VM starts at another position of the sequence, and reached it by playing the requests before it, up to the sum of the weights, on the only worker thread.

Ruled out: reading the manifest and the new view; with the same proportions and small weights nothing stops.

Change: the state is computed. Each service gets the whole requests of its share, the rest goes to those with the largest remainders. That takes the same time for any weights.

--- a/src/core/manifest.rs
+++ b/src/core/manifest.rs
@@ -133,21 +133,33 @@
 /// Splits the requests of a route among its targets by weight.
 ///
 /// Uses smooth weighted round robin: after any number of requests, each target
-/// has received its share to within one request.
+/// has received its share to within two requests.
 #[derive(Clone, Debug, Default)]
 pub struct RoundRobin {
     credits: Vec<i64>,
 }
 
 impl RoundRobin {
-    /// Creates the state that is reached after `offset` requests.
+    /// Creates a state in which `offset` requests have been split as evenly as possible.
+    ///
+    /// The time that it takes does not depend on the weights.
     pub fn new(targets: &[Target], offset: usize) -> Self {
-        let mut round_robin = Self::default();
-        let total: usize = targets.iter().map(|target| target.weight as usize).sum();
-        for _ in 0..offset % total.max(1) {
-            round_robin.next(targets);
+        let total: u128 = targets.iter().map(|target| u128::from(target.weight)).sum();
+        let Some(requests) = (offset as u128).checked_rem(total) else {
+            return Self::default();
+        };
+        // Each target first gets the whole requests of its share. What it is short of then is its
+        // credit, in parts of a request.
+        let credit = |target: &Target| requests * u128::from(target.weight) % total;
+        let mut credits: Vec<i64> = targets.iter().map(|target| credit(target) as i64).collect();
+        let total = total as i64;
+        let left = credits.iter().sum::<i64>() / total;
+        let mut by_credit: Vec<usize> = (0..targets.len()).collect();
+        by_credit.sort_by_key(|&index| Reverse(credits[index]));
+        for &index in &by_credit[..left as usize] {
+            credits[index] -= total;
         }
-        round_robin
+        Self { credits }
     }
 
     /// Returns the index of the target for the next request, or `None` if all weights are zero.
--- a/tests/suite/copy.rs
+++ b/tests/suite/copy.rs
@@ -20,7 +20,13 @@
     rendezvous,
     revision::compose,
 };
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
 
 fn object(name: &str, revision: u64, value: Option<Value>) -> Object {
     Object {
@@ -252,3 +258,47 @@
     }
     assert_eq!(counts, [270, 30, 0]);
 }
+
+#[test]
+fn parts_with_large_weights_get_their_share_without_delay() {
+    // Guards against processes that stopped for seconds at a new version of the manifest: a start
+    // state was reached by playing as many requests as the weights add up to.
+    const REQUESTS: usize = 1_000;
+    let weight_sets: [&[u32]; 5] = [
+        &[1_000_000_000, 50_000_000],
+        &[999_999_937, 500_000_003, 1],
+        &[u32::MAX; 8],
+        &[u32::MAX, 0, 1],
+        &[0, 0],
+    ];
+    let offsets = [0, 1, 1_796_664_563_000_123, usize::MAX];
+    let began = Instant::now();
+    for weights in weight_sets {
+        let parts = weights.iter().map(|&weight| Target {
+            service: "s".into(),
+            weight,
+        });
+        let parts: Vec<Target> = parts.collect();
+        let total: u64 = weights.iter().copied().map(u64::from).sum();
+        for offset in offsets {
+            let mut round_robin = RoundRobin::new(&parts, offset);
+            let mut counts = vec![0; parts.len()];
+            for _ in 0..REQUESTS {
+                match round_robin.next(&parts) {
+                    Some(index) => counts[index] += 1,
+                    None => assert_eq!(total, 0),
+                }
+            }
+            for (&count, &weight) in counts.iter().zip(weights) {
+                let share = REQUESTS as f64 * f64::from(weight) / (total as f64).max(1.0);
+                assert!(
+                    (f64::from(count) - share).abs() < 2.0,
+                    "{counts:?} of {weights:?} from {offset}"
+                );
+                assert!(weight > 0 || count == 0);
+            }
+        }
+    }
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(500), "{took:?}");
+}
