Answer every request of a planned stop before the process ends

Cause: after the notice period of 2.3 s connections are shut down gracefully, which ends those that wait for a next request. One that has not carried a request yet, or is in the middle of one, goes on, and its request was handled like any other. A request with a time limit beyond the end of the process got no response at all, whether it waited for an endpoint or was at one.

Ruled out: idle connections that have carried a request, which are closed at the notice's end.

Change: a module of its own, router::shutdown. After the notice period requests that were not passed on are rejected at once (503, short Retry-After, connection closed); their bodies are read first, so that the response is not lost. Deadlines end a quarter of a second before the process does, and whatever has no response by then gets one: 503 if it cannot have run, 502 otherwise. Endpoints keep over five sixths of the grace period. Where half a second is more than a twelfth of the grace period, the margin before its end is that twelfth.

Evidence, on the code before: request_that_arrives_late_in_the_grace_period_is_not_passed_on failed ("partial-0 was passed on"), and requests_without_a_response_at_the_end_of_the_grace_period_get_one failed (all six requests at endpoints had no response when the process ended).

--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -24,6 +24,7 @@
 pub mod reload;
 pub mod request;
 pub mod settings;
+pub mod shutdown;
 pub mod state;
 pub mod sync;
 pub mod wire;
@@ -51,9 +52,11 @@
     },
     router::{
         settings::Settings,
+        shutdown::Schedule,
         state::State, //
     },
 };
+use futures_lite::future;
 use metrics_exporter_prometheus::PrometheusHandle;
 use std::{
     sync::{
@@ -63,15 +66,6 @@
     time::Duration,
 };
 
-/// How long the process still accepts new connections after the signal to stop.
-///
-/// The load balancer stops sending after two failed readiness checks, which are one second
-/// apart.
-const DRAIN_NOTICE: Duration = Duration::from_millis(2_300);
-
-/// Part of the grace period reserved for the exit of the process.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
-
 /// Interval between summary log lines.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -218,13 +212,20 @@
     /// the number of connections that had to be closed before they were done.
     pub async fn drain(self) -> usize {
         let grace_period = self.state.settings.bounds.grace_period;
+        let schedule = Schedule::new(grace_period);
         log::info!("event=draining grace_ms={}", grace_period.as_millis());
         self.state.begin_shutdown();
         self.state.changed.notify(usize::MAX);
-        sleep(DRAIN_NOTICE.min(grace_period / 2)).await;
-        let remaining =
-            grace_period.saturating_sub(DRAIN_NOTICE.min(grace_period / 2) + GRACE_MARGIN);
-        let cut = self.callers.drain(remaining).await;
+        let drain = async {
+            sleep(schedule.rejects_at).await;
+            let remaining = schedule.exits_at - schedule.rejects_at;
+            self.callers.drain(remaining).await
+        };
+        let shutdown = async {
+            self.state.shutdown.run(schedule).await;
+            0
+        };
+        let cut = future::or(drain, shutdown).await;
         log::info!("event=stopped cut_connections={cut}");
         cut
     }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -226,9 +226,12 @@
     remove_hop_by_hop_fields(&mut parts.headers);
     parts.headers.remove(EXPECT);
     let limit = Duration::from_millis(deadline_ms.min(route.timeout_ms));
-    let deadline = began + limit;
+    let deadline = state.shutdown.limit(began + limit);
     let account = Account::of(&parts.extensions);
     let payload = read_payload(&account, body, deadline).await?;
+    if state.shutdown.is_rejecting() {
+        return Err(Error::NotRun("stopping", MIN_ATTEMPT_TIME));
+    }
     let class = dispatcher::class(route.repeat, route.rank, route.goal_ms);
     let waited = state.min_wait(class, deadline_ms);
     let goal_time = Duration::from_millis(route.goal_ms).saturating_sub(waited + CALLER_ROUND_TRIP);
@@ -284,7 +287,12 @@
         last_result: "",
         is_return: false,
     };
-    let result = run_attempts(state, routing, parts, payload, &mut record).await;
+    let mut history = History::default();
+    let attempts = run_attempts(state, routing, parts, payload, &mut record, &mut history);
+    let result = match state.shutdown.interrupt(attempts).await {
+        Some(result) => result,
+        None => history.interrupt("stopping"),
+    };
     (record, result)
 }
 
@@ -294,11 +302,11 @@
     parts: &Parts,
     payload: Payload,
     record: &mut Record,
+    history: &mut History,
 ) -> Result<Response<Body>, Error> {
     let mut payload = Some(payload);
     let mut avoid: Vec<Box<str>> = Vec::new();
     let mut was_sent = false;
-    let mut history = History::default();
     loop {
         let Some(content) = payload.take() else {
             return history.finish("not_kept", MIN_ATTEMPT_TIME);
@@ -356,8 +364,10 @@
         record.attempts += 1;
         let may_hedge = routing.route.repeat.allows_repeat()
             && history.possible_runs + 2 <= routing.route.attempts;
+        history.is_sending = true;
         let (completion, extra_runs) =
             send(state, routing, &call, &endpoint, content, permit, may_hedge).await;
+        history.is_sending = false;
         history.possible_runs += extra_runs;
         let may_retry =
             record.attempts < MAX_ATTEMPTS && remaining(routing.deadline) > MIN_ATTEMPT_TIME;
@@ -421,7 +431,7 @@
             }
             Completion::Late => {
                 record.last_result = "late";
-                return history.last_response.ok_or(Error::Late);
+                return history.last_response.take().ok_or(Error::Late);
             }
         }
     }
@@ -472,6 +482,8 @@
     last_failure: &'static str,
     /// Last server error that one of them responded with.
     last_response: Option<Response<Body>>,
+    /// Whether the request is being sent to an endpoint.
+    is_sending: bool,
 }
 
 impl History {
@@ -479,8 +491,8 @@
     ///
     /// An endpoint's response takes precedence. The request is reported as not run only if no
     /// endpoint can have run it.
-    fn finish(self, reason: &'static str, after: Duration) -> Result<Response<Body>, Error> {
-        match self.last_response {
+    fn finish(&mut self, reason: &'static str, after: Duration) -> Result<Response<Body>, Error> {
+        match self.last_response.take() {
             Some(response) => Ok(response),
             None if self.possible_runs > 0 && self.last_failure.is_empty() => {
                 Err(Error::Unknown(reason))
@@ -489,6 +501,15 @@
             None => Err(Error::NotRun(reason, after)),
         }
     }
+
+    /// Returns the result of a request that is broken off.
+    fn interrupt(&mut self, reason: &'static str) -> Result<Response<Body>, Error> {
+        if self.is_sending {
+            self.possible_runs += 1;
+            self.last_failure = reason;
+        }
+        self.finish(reason, MIN_ATTEMPT_TIME)
+    }
 }
 
 /// Sends a request under a permit. If `may_hedge` is set and the response takes far longer than
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -54,6 +54,7 @@
         peer,
         permit_client::Client,
         settings::Settings,
+        shutdown::Shutdown,
         wire::Heartbeat, //
     },
 };
@@ -294,6 +295,8 @@
     /// Cold endpoints, with the buckets that are used while this VM reaches no dispatcher.
     pub cold: Mutex<cold::Endpoints>,
     unreliable_connections: Mutex<Vec<(Box<str>, Instant)>>,
+    /// Progress of the shutdown of this process.
+    pub shutdown: Shutdown,
     is_leaving: AtomicBool,
     is_registered: AtomicBool,
     /// When the process was started.
@@ -341,6 +344,7 @@
             load_reports: Mutex::default(),
             cold: Mutex::new(cold::Endpoints::new(cold::local_share(1), rand::random())),
             unreliable_connections: Mutex::new(Vec::new()),
+            shutdown: Shutdown::default(),
             is_leaving: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
             started: clock::now(),
--- a/tests/suite/router.rs
+++ b/tests/suite/router.rs
@@ -6,6 +6,7 @@
 mod faulty_endpoint;
 mod pipelined;
 mod stand_in;
+mod stopping;
 mod table_writes;
 
 use async_io::block_on;
