--- a/src/kernel/http.rs
+++ b/src/kernel/http.rs
@@ -469,7 +469,11 @@
 
 /// Reads a whole body of at most `limit` bytes; `None` if it is longer or
 /// cannot be read to its end.
-pub async fn collect(body: Incoming, limit: usize) -> Option<Bytes> {
+pub async fn collect<B>(body: B, limit: usize) -> Option<Bytes>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<BodyError>,
+{
     let limited = http_body_util::Limited::new(body, limit);
     limited
         .collect()
--- a/src/router/peer.rs
+++ b/src/router/peer.rs
@@ -40,7 +40,6 @@
     },
 };
 use futures_lite::future;
-use http_body_util::BodyExt;
 use hyper::{
     body::Incoming,
     Method,
@@ -72,6 +71,9 @@
 /// Largest query.
 const MAX_QUERY_BYTES: usize = 64 * 1024;
 
+/// Largest response to a query. The whole state of a deployment takes a few megabytes.
+const MAX_DELTA_BYTES: usize = 32 * 1024 * 1024;
+
 /// Position up to which this VM has the changes of a relay's mirror.
 pub struct Cursor {
     relay: SocketAddr,
@@ -205,8 +207,8 @@
     let pool = state.peer_pools.get(address);
     let exchange = async {
         let response = pool.send(request, time_limit).await.ok()?;
-        let body = response.into_body().collect().await.ok()?;
-        decode(&body.to_bytes()).ok()
+        let bytes = collect(response.into_body(), MAX_DELTA_BYTES).await?;
+        decode(&bytes).ok()
     };
     timeout(time_limit, exchange).await?
 }
