Move what attempts did with a request to a module of its own

No change of behavior. request.rs grew by the interruption of requests; router::history now holds what decides whether a caller is told that its request did not run.

--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -15,6 +15,7 @@
 pub mod error_response;
 pub mod forwarded_body;
 pub mod held_body;
+pub mod history;
 pub mod membership;
 pub mod overlap;
 pub mod peer;
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -41,6 +41,7 @@
         dispatcher,
         error_response::Error,
         held_body,
+        history::History,
         permit_client,
         state::State, //
     },
@@ -291,7 +292,7 @@
     let attempts = run_attempts(state, routing, parts, payload, &mut record, &mut history);
     let result = match state.shutdown.interrupt(attempts).await {
         Some(result) => result,
-        None => history.interrupt("stopping"),
+        None => history.interrupt("stopping", MIN_ATTEMPT_TIME),
     };
     (record, result)
 }
@@ -473,45 +474,6 @@
     Ok(endpoint.clone())
 }
 
-/// What endpoints may already have done with a request.
-#[derive(Default)]
-struct History {
-    /// Number of endpoints that may have run the request.
-    possible_runs: u32,
-    /// How the last of them failed.
-    last_failure: &'static str,
-    /// Last server error that one of them responded with.
-    last_response: Option<Response<Body>>,
-    /// Whether the request is being sent to an endpoint.
-    is_sending: bool,
-}
-
-impl History {
-    /// Returns the result of a request that is not sent again.
-    ///
-    /// An endpoint's response takes precedence. The request is reported as not run only if no
-    /// endpoint can have run it.
-    fn finish(&mut self, reason: &'static str, after: Duration) -> Result<Response<Body>, Error> {
-        match self.last_response.take() {
-            Some(response) => Ok(response),
-            None if self.possible_runs > 0 && self.last_failure.is_empty() => {
-                Err(Error::Unknown(reason))
-            }
-            None if self.possible_runs > 0 => Err(Error::Unknown(self.last_failure)),
-            None => Err(Error::NotRun(reason, after)),
-        }
-    }
-
-    /// Returns the result of a request that is broken off.
-    fn interrupt(&mut self, reason: &'static str) -> Result<Response<Body>, Error> {
-        if self.is_sending {
-            self.possible_runs += 1;
-            self.last_failure = reason;
-        }
-        self.finish(reason, MIN_ATTEMPT_TIME)
-    }
-}
-
 /// Sends a request under a permit. If `may_hedge` is set and the response takes far longer than
 /// expected, sends the request to a second endpoint too.
 ///
--- a/src/router/shutdown.rs
+++ b/src/router/shutdown.rs
@@ -65,8 +65,10 @@
 pub struct Shutdown {
     answers_by: OnceLock<Instant>,
     is_rejecting: AtomicBool,
-    has_ended: AtomicBool,
-    ended: Event,
+    /// Whether the time for responses of endpoints is over.
+    is_over: AtomicBool,
+    /// Notified when it is over.
+    over: Event,
 }
 
 impl Shutdown {
@@ -77,8 +79,8 @@
         sleep(schedule.rejects_at).await;
         self.is_rejecting.store(true, Ordering::Release);
         sleep(schedule.answers_by - schedule.rejects_at).await;
-        self.has_ended.store(true, Ordering::Release);
-        self.ended.notify(usize::MAX);
+        self.is_over.store(true, Ordering::Release);
+        self.over.notify(usize::MAX);
         future::pending().await
     }
 
@@ -93,15 +95,15 @@
         self.is_rejecting.load(Ordering::Acquire)
     }
 
-    /// Runs `task`, but not beyond the time by which requests are answered.
+    /// Runs `task`, but not beyond the time by which requests are answered. Returns `None` then.
     pub async fn interrupt<T>(&self, task: impl Future<Output = T>) -> Option<T> {
-        let ended = async {
-            let listener = self.ended.listen();
-            if !self.has_ended.load(Ordering::Acquire) {
+        let over = async {
+            let listener = self.over.listen();
+            if !self.is_over.load(Ordering::Acquire) {
                 listener.await;
             }
             None
         };
-        future::or(async { Some(task.await) }, ended).await
+        future::or(async { Some(task.await) }, over).await
     }
 }
