--- a/src/router/claim.rs
+++ b/src/router/claim.rs
@@ -199,8 +199,8 @@
 /// Writes a table. If the response is lost, repeats the write under the same revision to learn
 /// whether the first one took effect.
 ///
-/// After an attempt with an unknown outcome, only a success or a conflict tells what became of
-/// it. Any other error concerns the latest attempt alone, so the outcome stays unknown.
+/// After an attempt with an unknown outcome, only a success or a conflict settles the outcome.
+/// Any other error concerns the latest attempt alone.
 pub async fn write_table(
     state: &Arc<State>,
     table: &Table,
